--- a/src/bin/juniperrock-drill.rs
+++ b/src/bin/lockpoint-drill.rs
@@ -4,15 +4,15 @@
 use std::io::{self, BufReader, Read, Write};
 use std::process::ExitCode;
 
-use juniperrock::interface::Action;
-use juniperrock::rules::Controller;
-use juniperrock::wire::{read_frame, Batch, Decoder, InstanceNo, Record, Reply};
+use lockpoint::interface::Action;
+use lockpoint::rules::Controller;
+use lockpoint::wire::{read_frame, Batch, Decoder, InstanceNo, Record, Reply};
 
 fn main() -> ExitCode {
     match serve(&mut BufReader::new(io::stdin().lock()), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("juniperrock-drill: {error}");
+            eprintln!("lockpoint-drill: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! juniperrock: the decisions of an edge controller that sets calls up at shared core servers.
+//! lockpoint: the decisions of an edge controller that sets calls up at shared core servers.
 //!
 //! [`rules::Controller`] takes [`interface::Event`]s and answers with [`interface::Action`]s. It does no I/O,
 //! keeps no clock and starts no thread: time is what the caller says it is, chance comes from the seed.
 //!
 //! ```
-//! use juniperrock::interface::*;
-//! use juniperrock::rules::Controller;
+//! use lockpoint::interface::*;
+//! use lockpoint::rules::Controller;
 //!
 //! let mut settings = Settings { max_attempts: 3, ..Settings::default() };
 //! settings.classes.push(ClassSettings { aim: Span::from_millis(1500), ..ClassSettings::default() });
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,4 +1,4 @@
-//! Every decision of juniperrock. The types, events and actions stand in `src/interface.rs`.
+//! Every decision of lockpoint. The types, events and actions stand in `src/interface.rs`.
 //!
 //! The ordinary path is the adaptive throttling of C4-183506. Per core server a sliding window counts
 //! `requests` (calls that had to be placed there, also those refused here) and `accepts` (set-ups that
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use juniperrock::interface::*;
-use juniperrock::rules::{refusal_probability, Controller};
+use lockpoint::interface::*;
+use lockpoint::rules::{refusal_probability, Controller};
 use proptest::prelude::*;
 
 const AIM: Span = Span::from_millis(1500);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The codec, on frames made by hand.
 
-use juniperrock::interface::*;
-use juniperrock::wire::{parse_settings, read_frame, Decoder, Record, Reply, WireError};
+use lockpoint::interface::*;
+use lockpoint::wire::{parse_settings, read_frame, Decoder, Record, Reply, WireError};
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
