--- /dev/null
+++ b/src/core/book.rs
@@ -0,0 +1,226 @@
+//! Stage 6: the book of calls that stand and of those that lately ended, and the releases that they owe.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::core::relay::{CAUSE_CLEARED, CAUSE_CUT};
+use crate::core::send::ended;
+use crate::core::{Client, Core, Due, Effect, FrontKind, Report, Sid};
+use crate::interface::{Attempt, AttemptEnd, CallId, Cause, Event, Outcome, ServerId, Span, Time};
+
+/// An ended call is remembered this long: a release that crosses ours must not be taken for an unknown call's.
+const REMEMBERED: Span = Span::from_millis(30_000);
+/// A release that found no connection waits this long for one.
+const UNSAID: Span = Span::from_millis(8_000);
+/// Ended calls and waiting releases kept at most; memory only.
+const MOST_KEPT: usize = 16_384;
+
+/// A call that stands.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Standing {
+    client: Client,
+    server: ServerId,
+    id: CallId,
+    attempt: u16,
+    since: Time,
+}
+
+/// Calls that stand, calls that ended lately, releases not yet said.
+#[derive(Debug, Default)]
+pub(super) struct Book {
+    pub(super) standing: BTreeMap<Sid, Standing>,
+    ended: BTreeMap<Sid, ()>,
+    order: VecDeque<Sid>,
+    unsaid: BTreeMap<Sid, (Client, u16)>,
+}
+
+impl Book {
+    /// Whether the name is that of a call that stands or has lately ended.
+    pub(super) fn knows(&self, sid: Sid) -> bool {
+        self.standing.contains_key(&sid) || self.ended.contains_key(&sid)
+    }
+    pub(super) fn stands_at(&self, sid: Sid, server: ServerId) -> bool {
+        self.standing.get(&sid).is_some_and(|s| s.server == server)
+    }
+    pub(super) fn stands(
+        &mut self,
+        sid: Sid,
+        client: Client,
+        server: ServerId,
+        id: CallId,
+        attempt: u16,
+        since: Time,
+    ) {
+        self.standing.insert(sid, Standing { client, server, id, attempt, since });
+    }
+    pub(super) fn heard(&mut self, sid: Sid) {
+        self.unsaid.remove(&sid);
+    }
+    pub(super) fn forget(&mut self, sid: Sid) {
+        self.ended.remove(&sid);
+    }
+    pub(super) fn drop_unsaid(&mut self, sid: Sid) {
+        self.unsaid.remove(&sid);
+    }
+}
+
+impl Core {
+    pub(super) fn client_up(&mut self, client: Client, out: &mut Vec<Effect>) {
+        self.clients.insert(client, ());
+        if client.front == FrontKind::JsonLines {
+            // Releases that found no connection go on the first that opens.
+            let waiting: Vec<(Sid, u16)> = self
+                .book
+                .unsaid
+                .iter()
+                .filter(|(_, (owner, _))| owner.front == client.front)
+                .map(|(sid, (_, cause))| (*sid, *cause))
+                .collect();
+            for (sid, cause) in waiting {
+                self.book.unsaid.remove(&sid);
+                self.deadlines.clear(&Due::Unsaid(sid));
+                self.counts.released += 1;
+                out.push(Effect::Release(client, sid, cause));
+            }
+        }
+    }
+
+    /// The caller's connection is gone: what was being set up on it is given up, what stands stays up. A leg of
+    /// IAX2 is its call, and ends with it.
+    pub(super) fn client_down(&mut self, client: Client, out: &mut Vec<Effect>) {
+        self.clients.remove(&client);
+        let open: Vec<Sid> =
+            self.open.iter().filter(|(_, o)| o.client == client).map(|(sid, _)| *sid).collect();
+        for sid in open {
+            self.hang_up(sid, out);
+        }
+        if client.front == FrontKind::Iax2 {
+            let standing = self.book.standing.iter().filter(|(_, s)| s.client == client);
+            let standing: Vec<Sid> = standing.map(|(sid, _)| *sid).collect();
+            for sid in standing {
+                self.end_standing(sid, CAUSE_CLEARED, out);
+            }
+        }
+    }
+
+    /// A caller gives a set-up up, or ends its call, on whatever connection.
+    pub(super) fn client_closes(&mut self, client: Client, sid: Sid, cause: u16, out: &mut Vec<Effect>) {
+        if self.open.contains_key(&sid) {
+            return self.hang_up(sid, out);
+        }
+        out.push(Effect::Heard(client, sid));
+        if self.book.standing.contains_key(&sid) {
+            self.end_standing(sid, cause, out);
+        } else if !self.book.ended.contains_key(&sid) {
+            // Set up before a restart of this controller: whichever call server holds it lets it go.
+            self.remember(sid);
+            let servers: Vec<ServerId> = self.servers.keys().copied().collect();
+            out.extend(servers.into_iter().map(|server| Effect::Bye(server, sid, cause)));
+        }
+    }
+
+    fn hang_up(&mut self, sid: Sid, out: &mut Vec<Effect>) {
+        let Some(call) = self.open.get(&sid).map(|open| open.id) else { return };
+        self.counts.given_up += 1;
+        self.feed(Event::HungUp(call), out);
+        self.take_back(sid, Outcome::Cancelled, out);
+        if let Some(open) = self.close(sid) {
+            out.push(Effect::Settled(open.client));
+        }
+        self.remember(sid);
+        self.pump(out);
+    }
+
+    /// Ends a call that stands from this side.
+    pub(super) fn end_standing(&mut self, sid: Sid, cause: u16, out: &mut Vec<Effect>) {
+        let Some(s) = self.book.standing.remove(&sid) else { return };
+        self.remember(sid);
+        out.push(Effect::Bye(s.server, sid, cause));
+        self.tell_end(s, Outcome::Cancelled, &Report::new(), out);
+    }
+
+    /// A call server's release: the caller hears of it at once, on its own connection or any other.
+    pub(super) fn server_releases(
+        &mut self,
+        server: ServerId,
+        sid: Sid,
+        cause: u16,
+        report: Report,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.book.stands_at(sid, server) {
+            let Some(s) = self.book.standing.remove(&sid) else { return };
+            self.remember(sid);
+            self.say_release(s.client, sid, cause, out);
+            let outcome = if cause == CAUSE_CLEARED { Outcome::Ok } else { Outcome::Reset };
+            self.tell_end(s, outcome, &report, out);
+            return;
+        }
+        let is_out = self.open.get(&sid).and_then(|o| o.out).is_some_and(|o| o.server == server);
+        if is_out {
+            // A release ahead of any answer: the set-up broke.
+            let load = self.load_of(&report);
+            self.attempt_ended(sid, Outcome::Reset, Cause::None, load);
+            self.pump(out);
+        } else if !self.book.knows(sid) && !self.open.contains_key(&sid) {
+            // Guards against calls left standing at callers by a restart: the name is unknown here, the caller
+            // still waits for its release.
+            self.remember(sid);
+            self.counts.unknown_released += 1;
+            let nobody = Client { front: FrontKind::JsonLines, no: u64::MAX };
+            self.say_release(nobody, sid, cause, out);
+        }
+    }
+
+    /// All calls of a call server are cut.
+    pub(super) fn server_died(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let cut = self.book.standing.iter().filter(|(_, s)| s.server == server);
+        let cut: Vec<Sid> = cut.map(|(sid, _)| *sid).collect();
+        for sid in cut {
+            let Some(s) = self.book.standing.remove(&sid) else { continue };
+            self.remember(sid);
+            self.say_release(s.client, sid, CAUSE_CUT, out);
+            self.tell_end(s, Outcome::Reset, &Report::new(), out);
+        }
+    }
+
+    /// The release goes on the call's own connection, else on any open one of its front, else on the next to open.
+    fn say_release(&mut self, client: Client, sid: Sid, cause: u16, out: &mut Vec<Effect>) {
+        let own = self.clients.contains_key(&client).then_some(client);
+        let shared = client.front == FrontKind::JsonLines;
+        let any = || self.clients.keys().rfind(|c| shared && c.front == client.front).copied();
+        match own.or_else(any) {
+            Some(client) => {
+                self.counts.released += 1;
+                out.push(Effect::Release(client, sid, cause));
+            }
+            None if shared && self.book.unsaid.len() < MOST_KEPT => {
+                self.book.unsaid.insert(sid, (client, cause));
+                self.deadlines.set(self.now.plus(UNSAID), Due::Unsaid(sid));
+            }
+            None => {}
+        }
+    }
+
+    fn tell_end(&mut self, s: Standing, outcome: Outcome, report: &Report, out: &mut Vec<Effect>) {
+        let took = self.now.since(s.since);
+        let mut event = ended(s.id, s.attempt, s.server, outcome, Cause::None, took);
+        let load = self.load_of(report);
+        if let Event::Ended(AttemptEnd { closed, load: told, attempt, .. }) = &mut event {
+            (*closed, *told, *attempt) = (true, load, Attempt(s.attempt));
+        }
+        self.feed(event, out);
+    }
+
+    /// Keeps an ended call's name for a while.
+    pub(super) fn remember(&mut self, sid: Sid) {
+        if self.book.ended.insert(sid, ()).is_none() {
+            self.book.order.push_back(sid);
+        }
+        self.deadlines.set(self.now.plus(REMEMBERED), Due::Forget(sid));
+        while self.book.order.len() > MOST_KEPT {
+            let Some(oldest) = self.book.order.pop_front() else { break };
+            self.book.ended.remove(&oldest);
+            self.deadlines.clear(&Due::Forget(oldest));
+        }
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,224 @@
+//! The core of a controller: sans-IO. It takes inputs with a time and yields effects; it knows requests, attempts
+//! and outcomes, no wire, no runtime and no clock. A call passes the stages take in, admit, route, send, relay and
+//! book, each in a file of its own.
+
+mod admit;
+mod book;
+pub mod deadlines;
+mod relay;
+mod route;
+mod send;
+mod take_in;
+#[cfg(test)]
+mod tests;
+pub mod types;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+use crate::interface::{CallId, Event, ServerId, Settings, Time, Token};
+use crate::rules::Controller;
+use book::Book;
+use deadlines::Deadlines;
+pub use types::*;
+
+/// What the core has set deadlines for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    /// A timer of the decision module.
+    Module(Token),
+    /// An attempt has been waited for long enough.
+    Attempt(CallId),
+    /// The caller gives up now.
+    Caller(CallId),
+    /// An ended call need not be remembered any more.
+    Forget(Sid),
+    /// Releases that found no connection have waited long enough.
+    Unsaid(Sid),
+    /// Something of a wire's: its part and a key of its own.
+    Wire(WirePart, u64),
+}
+
+/// The wires that keep deadlines here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WirePart {
+    /// Reconnecting to a SIP call server.
+    SipReach,
+    /// A leg of the IAX2 front.
+    IaxFront,
+    /// A leg or a call server of the IAX2 side.
+    IaxServers,
+}
+
+/// What the core is told at its start.
+#[derive(Debug, Clone)]
+pub struct CoreConfig {
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of the classes, in the module's order.
+    pub classes: Vec<Rc<str>>,
+    /// Calls that may be open at once.
+    pub most_held: usize,
+    /// Seed for the module's random numbers.
+    pub seed: u64,
+}
+
+/// Plain counts of what the core did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CoreCounts {
+    /// Set-ups taken in.
+    pub taken: u64,
+    /// Set-ups that named a call already known.
+    pub duplicates: u64,
+    /// Attempts sent.
+    pub sent: u64,
+    /// Attempts withdrawn.
+    pub cancelled: u64,
+    /// Attempts that a guard of the send stage held back.
+    pub held_back: u64,
+    /// Final answers: stands.
+    pub answered: u64,
+    /// Final answers: refused.
+    pub refused: u64,
+    /// Final answers: failed.
+    pub failed: u64,
+    /// Set-ups that the caller gave up.
+    pub given_up: u64,
+    /// Releases passed on to callers.
+    pub released: u64,
+    /// Releases for calls not known here, passed on all the same.
+    pub unknown_released: u64,
+    /// Answers that came after the attempt was given up.
+    pub late_answers: u64,
+}
+
+/// A set-up that is out.
+#[derive(Debug, Clone, Copy)]
+struct Out {
+    server: ServerId,
+    attempt: u16,
+    sent: Time,
+}
+
+/// A call that is owed its final answer.
+#[derive(Debug)]
+struct Open {
+    id: CallId,
+    client: Client,
+    class: usize,
+    number: Rc<str>,
+    body: Rc<str>,
+    valid_until: Time,
+    attempts: u16,
+    out: Option<Out>,
+    not_before: Time,
+}
+
+/// A call server as the directories tell of it.
+#[derive(Debug)]
+struct Listed {
+    line: HostLine,
+    source: Source,
+}
+
+/// One controller's core.
+pub struct Core {
+    config: CoreConfig,
+    module: Controller,
+    now: Time,
+    next_call: u32,
+    open: BTreeMap<Sid, Open>,
+    names: BTreeMap<CallId, Sid>,
+    servers: BTreeMap<ServerId, Listed>,
+    hosts: BTreeMap<String, ServerId>,
+    list_held: bool,
+    clients: BTreeMap<Client, ()>,
+    book: Book,
+    /// All deadlines of the instance, the wires' too.
+    pub deadlines: Deadlines<Due>,
+    events: VecDeque<Event>,
+    counts: CoreCounts,
+}
+
+impl Core {
+    /// A core that knows nothing but its settings.
+    pub fn new(config: CoreConfig) -> Self {
+        let module = Controller::new(config.settings.clone(), config.seed);
+        Self {
+            config,
+            module,
+            now: Time::default(),
+            next_call: 0,
+            open: BTreeMap::new(),
+            names: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            list_held: false,
+            clients: BTreeMap::new(),
+            book: Book::default(),
+            deadlines: Deadlines::default(),
+            events: VecDeque::new(),
+            counts: CoreCounts::default(),
+        }
+    }
+
+    /// Takes one input and appends what is to be done, in order. A clock that steps back stands still.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::ClientUp(client) => self.client_up(client, out),
+            Input::ClientDown(client) => self.client_down(client, out),
+            Input::Open(client, set_up) => self.take_in(client, set_up, out),
+            Input::Close(client, sid, cause) => self.client_closes(client, sid, cause, out),
+            Input::Heard(sid) => self.book.heard(sid),
+            Input::Server(server, sid, says) => self.server_says(server, sid, says, out),
+            Input::Load(server, report) => self.server_reports(server, report, out),
+            Input::Died(server) => self.server_died(server, out),
+            Input::List { source, whole, hosts } => self.news(source, whole, hosts, out),
+            Input::Mail(from, data) => self.feed(Event::Mail { from, data }, out),
+            Input::Turn => {}
+        }
+    }
+
+    /// Takes what has fallen due by `now`; hands back what is a wire's.
+    pub fn sweep(&mut self, now: Time, out: &mut Vec<Effect>) -> Vec<(WirePart, u64)> {
+        self.now = self.now.max(now);
+        let mut wires = Vec::new();
+        while let Some(due) = self.deadlines.pop(self.now) {
+            match due {
+                Due::Module(token) => self.feed(Event::Timer(token), out),
+                Due::Attempt(call) => self.attempt_overdue(call, out),
+                Due::Caller(call) => self.caller_gives_up(call, out),
+                Due::Forget(sid) => self.book.forget(sid),
+                Due::Unsaid(sid) => self.book.drop_unsaid(sid),
+                Due::Wire(part, key) => wires.push((part, key)),
+            }
+        }
+        wires
+    }
+
+    /// Whether a list of call servers is held: the test that the front makes passes.
+    pub fn ready(&self) -> bool {
+        self.list_held
+    }
+
+    /// Calls that are owed a final answer.
+    pub fn open_calls(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Calls that stand.
+    pub fn standing_calls(&self) -> usize {
+        self.book.standing.len()
+    }
+
+    /// What was done so far.
+    pub fn counts(&self) -> CoreCounts {
+        self.counts
+    }
+
+    /// The call servers known: name, address, state.
+    pub fn listed(&self) -> impl Iterator<Item = &HostLine> {
+        self.servers.values().map(|listed| &listed.line)
+    }
+}
--- /dev/null
+++ b/src/core/relay.rs
@@ -0,0 +1,120 @@
+//! Stage 5: what a call server says of a call goes to the module and, where it is final, to the caller.
+
+use std::rc::Rc;
+
+use crate::core::{AttemptError, Core, Effect, Refusal, ServerSays, Sid};
+use crate::interface::{Attempt, CallId, Cause, Event, LoadReport, Outcome, ServerId, Span};
+
+/// Cause of a call that was ended by its user.
+pub const CAUSE_CLEARED: u16 = 16;
+/// Cause of a call that was cut.
+pub const CAUSE_CUT: u16 = 41;
+
+impl Core {
+    pub(super) fn server_says(
+        &mut self,
+        server: ServerId,
+        sid: Sid,
+        says: ServerSays,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_out = self.open.get(&sid).and_then(|o| o.out).is_some_and(|o| o.server == server);
+        match says {
+            ServerSays::Answered(body) if is_out => self.stands(sid, body, out),
+            ServerSays::Answered(_) => {
+                // The answer crossed our giving it up, or nobody here knows of the call: it must not stay up.
+                if !self.book.stands_at(sid, server) {
+                    self.counts.late_answers += 1;
+                    out.push(Effect::Bye(server, sid, CAUSE_CLEARED));
+                }
+            }
+            ServerSays::Refused(refusal, cause, report) => {
+                let load = self.load_of(&report);
+                if is_out {
+                    self.attempt_ended(sid, outcome_of(refusal), cause, load);
+                    self.pump(out);
+                } else if !load.0.is_empty() {
+                    self.feed(Event::Load { server, outcome: Outcome::Ok, load }, out);
+                }
+            }
+            ServerSays::Lost(error) if is_out => {
+                self.attempt_ended(sid, outcome_of_loss(error), Cause::None, LoadReport::default());
+                self.pump(out);
+            }
+            ServerSays::Lost(_) => {}
+            ServerSays::Released(cause, report) => self.server_releases(server, sid, cause, report, out),
+        }
+    }
+
+    /// The first answer: the caller gets it unchanged, at once and once.
+    fn stands(&mut self, sid: Sid, body: Rc<str>, out: &mut Vec<Effect>) {
+        let Some(open) = self.close(sid) else { return };
+        let Some(o) = open.out else { return };
+        self.counts.answered += 1;
+        out.push(Effect::Answer(open.client, sid, body));
+        self.book.stands(sid, open.client, o.server, open.id, o.attempt, self.now);
+        let (call, attempt, server) = (open.id, Attempt(o.attempt), o.server);
+        self.feed(Event::Stands { call, attempt, server, took: self.now.since(o.sent) }, out);
+        if !self.clients.contains_key(&open.client) {
+            // The caller's connection went while the answer was on its way here: nobody hears it.
+            self.end_standing(sid, CAUSE_CLEARED, out);
+        }
+    }
+
+    /// Final answer: refused.
+    pub(super) fn refuse(&mut self, call: CallId, wait: Span, out: &mut Vec<Effect>) {
+        self.turn_down(call, true, wait, out);
+    }
+
+    /// Final answer: failed.
+    pub(super) fn fail(&mut self, call: CallId, out: &mut Vec<Effect>) {
+        self.turn_down(call, false, Span::default(), out);
+    }
+
+    fn turn_down(&mut self, call: CallId, again: bool, wait: Span, out: &mut Vec<Effect>) {
+        let Some(&sid) = self.names.get(&call) else { return };
+        // Nothing may stay out for a call that is over.
+        self.take_back(sid, Outcome::Cancelled, out);
+        let Some(open) = self.close(sid) else { return };
+        if again {
+            self.counts.refused += 1;
+        } else {
+            self.counts.failed += 1;
+        }
+        self.remember(sid);
+        out.push(Effect::Refuse { client: open.client, sid, again, wait });
+    }
+
+    /// The caller's wait is over and the module has said nothing: the last guard of the one final answer.
+    pub(super) fn caller_gives_up(&mut self, call: CallId, out: &mut Vec<Effect>) {
+        self.turn_down(call, false, Span::default(), out);
+        self.feed(Event::HungUp(call), out);
+    }
+
+    /// Takes a call out of the table of those that are owed an answer.
+    pub(super) fn close(&mut self, sid: Sid) -> Option<crate::core::Open> {
+        let open = self.open.remove(&sid)?;
+        self.names.remove(&open.id);
+        self.deadlines.clear(&crate::core::Due::Attempt(open.id));
+        self.deadlines.clear(&crate::core::Due::Caller(open.id));
+        Some(open)
+    }
+}
+
+fn outcome_of(refusal: Refusal) -> Outcome {
+    match refusal {
+        Refusal::Full => Outcome::Full,
+        Refusal::Error => Outcome::Error,
+        Refusal::Moot => Outcome::Moot,
+        Refusal::Reset => Outcome::Reset,
+    }
+}
+
+/// How far an attempt had come tells whether it provably never ran.
+fn outcome_of_loss(error: AttemptError) -> Outcome {
+    if error.progress.never_ran() {
+        Outcome::ConnectFailed
+    } else {
+        Outcome::Reset
+    }
+}
--- /dev/null
+++ b/src/core/route.rs
@@ -0,0 +1,117 @@
+//! Stage 3: the decision module hears an event, and each of its actions goes to the stage that carries it out.
+
+use crate::core::{Core, Due, Effect, HostLine, Listed, Source};
+use crate::interface::{
+    Action, Event, ListKind, LoadReport, Outcome, ServerEntry, ServerId, ServerState, Time,
+};
+
+impl Core {
+    /// Hands an event to the module and carries out what follows from it, until nothing more follows.
+    pub(super) fn feed(&mut self, event: Event, out: &mut Vec<Effect>) {
+        self.events.push_back(event);
+        self.pump(out);
+    }
+
+    /// Lets the module hear what has been booked for it.
+    pub(super) fn pump(&mut self, out: &mut Vec<Effect>) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.module.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action, out);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action, out: &mut Vec<Effect>) {
+        match action {
+            Action::Send { call, server, patience } => self.send(call, server, patience, out),
+            Action::Refuse { call, retry_after } => self.refuse(call, retry_after, out),
+            Action::Fail { call } => self.fail(call, out),
+            Action::Cancel { call, attempt } => self.cancel(call, attempt.0, out),
+            Action::Timer { after, token } => self.deadlines.set(self.now.plus(after), Due::Module(token)),
+            Action::Tell { to, data } => out.push(Effect::Tell(to, data)),
+            Action::Log(line) => out.push(Effect::Log(line)),
+            // Probes are not allowed; ways to call servers are kept up; the list comes unasked.
+            Action::Probe { .. } | Action::CloseIdle { .. } | Action::Watch(_) | Action::FetchList => {}
+        }
+    }
+
+    pub(super) fn server_reports(
+        &mut self,
+        server: ServerId,
+        report: crate::core::Report,
+        out: &mut Vec<Effect>,
+    ) {
+        let load = self.load_of(&report);
+        self.feed(Event::Load { server, outcome: Outcome::Ok, load }, out);
+    }
+
+    /// A report's figures in the order of the settings; -1 where one is not told.
+    pub(super) fn load_of(&self, report: &crate::core::Report) -> LoadReport {
+        if report.is_empty() {
+            return LoadReport::default();
+        }
+        let fields = self.config.settings.load_fields.iter();
+        let told = |field| report.iter().find(|(name, _)| name == field).map_or(-1.0, |(_, value)| *value);
+        LoadReport(fields.map(told).collect())
+    }
+
+    /// News of a directory: what changed goes to the module, and the wires keep up or give up their ways.
+    pub(super) fn news(
+        &mut self,
+        source: Source,
+        whole: bool,
+        mut hosts: Vec<HostLine>,
+        out: &mut Vec<Effect>,
+    ) {
+        if whole {
+            let left = self.servers.values().filter(|l| l.source == source);
+            let left = left.filter(|l| l.line.state != ServerState::Gone);
+            let left = left.filter(|l| !hosts.iter().any(|h| h.host == l.line.host));
+            let left: Vec<HostLine> =
+                left.map(|l| HostLine { state: ServerState::Gone, ..l.line.clone() }).collect();
+            hosts.extend(left);
+        }
+        self.list_held |= !hosts.is_empty();
+        let mut entries = Vec::new();
+        for line in hosts {
+            let next = ServerId { address: self.hosts.len() as u32 + 1, port: 0 };
+            let server = *self.hosts.entry(line.host.clone()).or_insert(next);
+            entries.push(entry_of(server, &line));
+            let before = self.servers.get(&server).map(|l| (l.line.born_ms, l.line.dial, l.line.state));
+            let fresh = before.is_some_and(|(born, dial, _)| born != line.born_ms || dial != line.dial);
+            if fresh {
+                // Guards against calls that a machine's restart has cut and that nobody would ever release.
+                self.server_died(server, out);
+            }
+            let (dial, protocol, state) = (line.dial, line.protocol, line.state);
+            self.servers.insert(server, Listed { line, source });
+            match state {
+                ServerState::Ready => out.push(Effect::Reach { server, dial, protocol, fresh }),
+                ServerState::Draining => {
+                    out.push(Effect::Withdraw(server));
+                    out.push(Effect::Reach { server, dial, protocol, fresh });
+                }
+                ServerState::Gone => {
+                    out.push(Effect::Withdraw(server));
+                    self.server_died(server, out);
+                    out.push(Effect::Leave(server));
+                }
+            }
+        }
+        if !entries.is_empty() {
+            self.feed(Event::List { kind: ListKind::Delta, entries }, out);
+        }
+    }
+}
+
+fn entry_of(server: ServerId, line: &HostLine) -> ServerEntry {
+    ServerEntry {
+        server,
+        cell: line.cell,
+        zone: line.zone,
+        started: Time(line.born_ms.saturating_mul(1000)),
+        state: line.state,
+    }
+}
--- /dev/null
+++ b/src/core/tests.rs
@@ -0,0 +1,1 @@
+//! The core, driven by given times.
--- /dev/null
+++ b/src/core/types.rs
@@ -0,0 +1,286 @@
+//! What the core hears and what it asks for. No wire's form shows here.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::interface::{Cause, Cell, LoadField, ServerId, ServerState, Span};
+
+/// A call's name on the wires: 16 characters, passed on as they came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Sid(pub [u8; 16]);
+
+impl Sid {
+    /// Reads 16 hex digits.
+    pub fn parse(text: &str) -> Option<Sid> {
+        let bytes: [u8; 16] = text.as_bytes().try_into().ok()?;
+        bytes.iter().all(u8::is_ascii_hexdigit).then_some(Sid(bytes))
+    }
+    /// The name that a number stands for, for fronts whose wire has no such name.
+    pub fn numbered(number: u64) -> Sid {
+        let mut bytes = [b'0'; 16];
+        for (at, byte) in bytes.iter_mut().enumerate() {
+            let digit = (number >> (60 - 4 * at)) & 15;
+            *byte = b"0123456789abcdef"[digit as usize];
+        }
+        Sid(bytes)
+    }
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(&self.0).unwrap_or("")
+    }
+}
+
+impl std::fmt::Display for Sid {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Which front a caller stands at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FrontKind {
+    /// Many calls share a connection; what concerns a call may go on any of them.
+    JsonLines,
+    /// Each call has a leg of its own.
+    Iax2,
+}
+
+/// A caller's connection or leg.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Client {
+    /// Its front.
+    pub front: FrontKind,
+    /// Its number there, never used twice.
+    pub no: u64,
+}
+
+/// How a call server is spoken to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Protocol {
+    /// SIP over TCP.
+    Sip,
+    /// IAX2 over UDP.
+    Iax2,
+}
+
+/// Who told of a call server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// The bulletin.
+    Bulletin,
+    /// DNS-SD records.
+    DnsSd,
+}
+
+/// A line of a directory.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HostLine {
+    /// The call server's name; stays over restarts.
+    pub host: String,
+    /// Its address.
+    pub dial: SocketAddr,
+    /// How it is spoken to.
+    pub protocol: Protocol,
+    /// Its number as a destination.
+    pub cell: Cell,
+    /// Its zone, by position in the settings.
+    pub zone: u16,
+    /// Unix milliseconds of a late start, or 0.
+    pub born_ms: u64,
+    /// Its state.
+    pub state: ServerState,
+}
+
+/// A set-up as a front took it in.
+#[derive(Debug, Clone)]
+pub struct SetUp {
+    /// The call.
+    pub sid: Sid,
+    /// Name of its class.
+    pub class: Rc<str>,
+    /// How long the caller still waits.
+    pub left: Span,
+    /// The number called, as it came.
+    pub number: Rc<str>,
+    /// The cell of first choice.
+    pub dest: Option<Cell>,
+    /// Whether the caller says that it has dialled before.
+    pub redialled: bool,
+    /// The description.
+    pub body: Rc<str>,
+}
+
+/// How far an attempt had come when its way broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Progress {
+    /// No connection stood.
+    NotConnected,
+    /// It waited to be written; no byte had left.
+    Queued,
+    /// Its first byte had left.
+    Written,
+    /// The call server had answered.
+    Answered,
+}
+
+impl Progress {
+    /// Whether the attempt provably never ran.
+    pub fn never_ran(self) -> bool {
+        self < Progress::Written
+    }
+}
+
+/// An attempt that ended without the call server saying so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("{why} ({progress:?})")]
+pub struct AttemptError {
+    /// What broke.
+    pub why: Broken,
+    /// How far it had come.
+    pub progress: Progress,
+}
+
+/// What can break under an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Broken {
+    /// The connection could not be made.
+    #[error("no connection")]
+    Connect,
+    /// The connection ended.
+    #[error("the connection ended")]
+    Ended,
+    /// What came could not be read.
+    #[error("unreadable bytes")]
+    Unreadable,
+    /// Taken back before its first byte left.
+    #[error("withdrawn")]
+    Withdrawn,
+    /// Nothing was acknowledged.
+    #[error("not acknowledged")]
+    Silent,
+}
+
+/// A call server's reason not to set a call up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// Full; it never ran.
+    Full,
+    /// A fault, or the number is busy.
+    Error,
+    /// It never left.
+    Moot,
+    /// Broken on its way.
+    Reset,
+}
+
+/// Load figures as a call server told them.
+pub type Report = Vec<(LoadField, f32)>;
+
+/// What a call server's side says of a call.
+#[derive(Debug, Clone)]
+pub enum ServerSays {
+    /// The call stands, with this description.
+    Answered(Rc<str>),
+    /// The set-up was refused.
+    Refused(Refusal, Cause, Report),
+    /// The call that stood is over, for this cause.
+    Released(u16, Report),
+    /// The attempt's way broke.
+    Lost(AttemptError),
+}
+
+/// What the core hears.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// A caller's connection or leg is there.
+    ClientUp(Client),
+    /// It is gone.
+    ClientDown(Client),
+    /// A set-up came in on it.
+    Open(Client, SetUp),
+    /// A caller gives a set-up up or ends its call.
+    Close(Client, Sid, u16),
+    /// A caller has heard of a release.
+    Heard(Sid),
+    /// A call server's side says this of a call.
+    Server(ServerId, Sid, ServerSays),
+    /// A call server reports its load unasked.
+    Load(ServerId, Report),
+    /// A call server's process has died; its calls are cut.
+    Died(ServerId),
+    /// News of the call servers.
+    List {
+        /// Who tells.
+        source: Source,
+        /// Whether what is not named has left.
+        whole: bool,
+        /// The lines.
+        hosts: Vec<HostLine>,
+    },
+    /// A datagram of a peer.
+    Mail(u16, Vec<u8>),
+    /// Time has passed.
+    Turn,
+}
+
+/// What the core asks of the wires, in order.
+#[derive(Debug, Clone)]
+pub enum Effect {
+    /// Tell the caller that its call stands.
+    Answer(Client, Sid, Rc<str>),
+    /// Final answer: refused (`again`: trying again is harmless) or failed; how long to stay away.
+    Refuse {
+        /// Where the set-up came in.
+        client: Client,
+        /// The call.
+        sid: Sid,
+        /// Whether trying again is harmless.
+        again: bool,
+        /// Time to stay away; zero: not said.
+        wait: Span,
+    },
+    /// Tell the caller that its call is over.
+    Release(Client, Sid, u16),
+    /// Tell the caller that its release was heard.
+    Heard(Client, Sid),
+    /// No answer is owed on this connection for one of its set-ups any more.
+    Settled(Client),
+    /// Send a set-up.
+    Invite {
+        /// Where to.
+        server: ServerId,
+        /// The call.
+        sid: Sid,
+        /// Name of its class.
+        class: Rc<str>,
+        /// The number called.
+        number: Rc<str>,
+        /// How long an answer is waited for.
+        left: Span,
+        /// The description.
+        body: Rc<str>,
+    },
+    /// Give a set-up up.
+    Cancel(ServerId, Sid),
+    /// End a call that stands.
+    Bye(ServerId, Sid, u16),
+    /// Keep up a way to this call server; a new one (`fresh`) replaces whatever was there.
+    Reach {
+        /// Which.
+        server: ServerId,
+        /// Where it listens.
+        dial: SocketAddr,
+        /// How it is spoken to.
+        protocol: Protocol,
+        /// Whether it has started anew.
+        fresh: bool,
+    },
+    /// Take back what has not left for this call server.
+    Withdraw(ServerId),
+    /// Give up every way to this call server.
+    Leave(ServerId),
+    /// Send a datagram to a peer, or to all.
+    Tell(Option<u16>, Vec<u8>),
+    /// A line for the people on call.
+    Log(String),
+}
--- /dev/null
+++ b/src/counters.rs
@@ -0,0 +1,47 @@
+//! What a controller took in, sent and answered, in one place to print.
+
+use serde::Serialize;
+
+/// The counts of one controller.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+#[allow(missing_docs)] // the names say it; README lists them
+pub struct Counters {
+    pub name: String,
+    pub open: usize,
+    pub standing: usize,
+    pub clients: usize,
+    pub taken: u64,
+    pub duplicates: u64,
+    pub answered: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub given_up: u64,
+    pub released: u64,
+    pub unknown_released: u64,
+    pub attempts: u64,
+    pub cancelled: u64,
+    pub held_back: u64,
+    pub late_answers: u64,
+    pub invites: u64,
+    pub withdrawn: u64,
+    pub connected: u64,
+    pub not_made: u64,
+    pub malformed_lines: u64,
+    pub malformed_sip: u64,
+    pub malformed_bulletin: u64,
+    pub bulletin_failures: u64,
+    pub mail: u64,
+    pub lost_connections: u64,
+}
+
+impl Counters {
+    /// One line of `name=value` pairs.
+    pub fn line(&self) -> String {
+        let value = serde_json::to_value(self).unwrap_or_default();
+        let pairs = value.as_object().into_iter().flatten().map(|(name, value)| match value.as_str() {
+            Some(text) => format!("{name}={text}"),
+            None => format!("{name}={value}"),
+        });
+        pairs.collect::<Vec<_>>().join(" ")
+    }
+}
--- /dev/null
+++ b/src/directory/mod.rs
@@ -0,0 +1,3 @@
+//! Who the call servers are.
+
+pub mod bulletin;
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,4 @@
+//! The callers' wires.
+
+pub mod iax2;
+pub mod jsonl;
--- /dev/null
+++ b/src/instance.rs
@@ -0,0 +1,584 @@
+//! One controller at work: its core, its wires and its sockets on one current-thread runtime.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, LocalSet};
+
+use crate::config::InstanceConfig;
+use crate::core::{Client, Core, Effect, FrontKind, HostLine, Input, Protocol, Source, WirePart};
+use crate::counters::Counters;
+use crate::directory::bulletin::{self, Page};
+use crate::front::jsonl::{self, Clients, Line, LineError};
+use crate::interface::Time;
+use crate::net::conn::{serve, End, Reader, Unreadable};
+use crate::net::peers::{Peers, LONGEST};
+use crate::net::pool::{Pool, MESSAGE};
+use crate::net::queue::WriteQueue;
+use crate::upstream::sip::message::{parse, SipError};
+use crate::upstream::sip::{LinkEnd, Trunks};
+use crate::upstream::Todo;
+
+/// After a request to stop, new connections are taken for so long: the front notices only then.
+const STILL_ACCEPTS: Duration = Duration::from_millis(650);
+/// Requests on connections that are open may come for so long.
+const STILL_TAKES: Duration = Duration::from_millis(900);
+/// How often the end of the last calls is looked for while stopping.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+/// Descriptors kept for everything but callers.
+const OWN_SOCKETS: usize = 64;
+
+/// A controller that cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address cannot be listened at.
+    #[error("cannot listen at {address} ({key}): {why}")]
+    Listen {
+        /// Which key of the configuration.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        why: io::Error,
+    },
+}
+
+/// Unix time that never steps back.
+#[derive(Debug, Clone, Copy)]
+struct Clock {
+    base: u64,
+    started: Instant,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros());
+        Self { base: u64::try_from(base).unwrap_or(u64::MAX), started: Instant::now() }
+    }
+    fn now(&self) -> Time {
+        let passed = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        Time(self.base.saturating_add(passed))
+    }
+    fn until(&self, at: Time) -> tokio::time::Instant {
+        let after = Duration::from_micros(at.0.saturating_sub(self.base));
+        tokio::time::Instant::from_std(self.started + after)
+    }
+}
+
+/// Everything that is not a socket.
+struct State {
+    core: Core,
+    clients: Clients,
+    next_client: u64,
+    sip: Trunks,
+    peer_socket: Option<Rc<UdpSocket>>,
+    peers: Peers,
+    tally: Tally,
+}
+
+/// Counts that belong to no wire's own state.
+#[derive(Debug, Default)]
+struct Tally {
+    lines: u64,
+    sip: u64,
+    bulletin: u64,
+    bulletin_failures: u64,
+    mail: u64,
+    lost: u64,
+}
+
+struct Shared {
+    name: String,
+    clock: Clock,
+    state: RefCell<State>,
+    /// The earliest deadline has changed.
+    rearm: Notify,
+    stopping: Cell<bool>,
+    pool: Pool,
+    connect_timeout: Duration,
+    most_clients: usize,
+    room: Notify,
+}
+
+/// A handle on a controller that runs.
+#[derive(Clone)]
+pub struct Instance(Rc<Shared>);
+
+/// The sockets of a controller that is ready to run.
+pub struct Bound {
+    instance: Instance,
+    config: InstanceConfig,
+    listener: Option<TcpListener>,
+}
+
+impl Bound {
+    /// Opens what the controller listens at.
+    pub async fn open(config: InstanceConfig) -> Result<Bound, StartError> {
+        let fail = |key, address| move |why| StartError::Listen { key, address, why };
+        let listener = match config.listen {
+            Some(address) => Some(listen(address).map_err(fail("listen", address))?),
+            None => None,
+        };
+        let peer_socket = match config.peer_listen {
+            Some(at) => Some(Rc::new(UdpSocket::bind(at).await.map_err(fail("peer_listen", at))?)),
+            None => None,
+        };
+        let state = State {
+            core: Core::new(config.core.clone()),
+            clients: Clients::default(),
+            next_client: 0,
+            sip: Trunks::default(),
+            peer_socket,
+            peers: config.peers.clone(),
+            tally: Tally::default(),
+        };
+        let most_clients = config.sockets.saturating_sub(OWN_SOCKETS).max(8);
+        let shared = Shared {
+            name: config.name.clone(),
+            clock: Clock::new(),
+            state: RefCell::new(state),
+            rearm: Notify::new(),
+            stopping: Cell::new(false),
+            pool: Pool::new(most_clients + OWN_SOCKETS),
+            connect_timeout: Duration::from_micros(config.connect_timeout.0),
+            most_clients,
+            room: Notify::new(),
+        };
+        Ok(Bound { instance: Instance(Rc::new(shared)), config, listener })
+    }
+
+    /// A handle for whoever wants to look on.
+    pub fn handle(&self) -> Instance {
+        self.instance.clone()
+    }
+
+    /// Where JSON-lines callers connect.
+    pub fn listens_at(&self) -> Option<SocketAddr> {
+        self.listener.as_ref().and_then(|l| l.local_addr().ok())
+    }
+
+    /// Serves until `stop`, then finishes what was taken.
+    pub async fn run(self, stop: impl std::future::Future<Output = ()>) -> Counters {
+        let local = LocalSet::new();
+        let Bound { instance, config, listener } = self;
+        local.run_until(instance.clone().serve(config, listener, stop)).await;
+        instance.counters()
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // A restart takes the address over from a process that has just gone.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1024)
+}
+
+impl Instance {
+    async fn serve(
+        self,
+        config: InstanceConfig,
+        listener: Option<TcpListener>,
+        stop: impl std::future::Future<Output = ()>,
+    ) {
+        let known = config.known.clone();
+        let after = known.no;
+        self.page(known);
+        let timer = spawn_local(self.clone().keep_time());
+        let acceptor = listener.map(|listener| spawn_local(self.clone().accept(listener)));
+        if let Some(address) = config.bulletin {
+            let (taker, failer) = (self.clone(), self.clone());
+            let zones = config.zones.clone();
+            spawn_local(async move {
+                let failed = |_| failer.0.state.borrow_mut().tally.bulletin_failures += 1;
+                bulletin::follow(address, after, zones, |page| taker.page(page), failed).await;
+            });
+        }
+        let peer_socket = self.0.state.borrow().peer_socket.clone();
+        if let Some(socket) = peer_socket {
+            spawn_local(self.clone().hear_peers(socket));
+        }
+        stop.await;
+        self.0.stopping.set(true);
+        let stopped = Instant::now();
+        tokio::time::sleep(STILL_ACCEPTS).await;
+        if let Some(acceptor) = acceptor {
+            acceptor.abort();
+        }
+        while stopped.elapsed() < STILL_TAKES || !self.settled() {
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+        timer.abort();
+    }
+
+    /// Whether no call is owed an answer and all answers are written.
+    fn settled(&self) -> bool {
+        let state = self.0.state.borrow();
+        state.core.open_calls() == 0 && state.clients.all_written()
+    }
+
+    /// Whether the controller was asked to stop.
+    pub fn stopping(&self) -> bool {
+        self.0.stopping.get()
+    }
+
+    /// The counts so far.
+    pub fn counters(&self) -> Counters {
+        let state = self.0.state.borrow();
+        let (core, sip, tally) = (state.core.counts(), state.sip.counts, &state.tally);
+        Counters {
+            name: self.0.name.clone(),
+            open: state.core.open_calls(),
+            standing: state.core.standing_calls(),
+            clients: state.clients.len(),
+            taken: core.taken,
+            duplicates: core.duplicates,
+            answered: core.answered,
+            refused: core.refused,
+            failed: core.failed,
+            given_up: core.given_up,
+            released: core.released,
+            unknown_released: core.unknown_released,
+            attempts: core.sent,
+            cancelled: core.cancelled,
+            held_back: core.held_back,
+            late_answers: core.late_answers,
+            invites: sip.invites,
+            withdrawn: sip.withdrawn,
+            connected: sip.connected,
+            not_made: sip.not_made,
+            malformed_lines: tally.lines,
+            malformed_sip: sip.malformed + tally.sip,
+            malformed_bulletin: tally.bulletin,
+            bulletin_failures: tally.bulletin_failures,
+            mail: tally.mail,
+            lost_connections: tally.lost,
+        }
+    }
+
+    /// The call servers as listed.
+    pub fn servers(&self) -> Vec<HostLine> {
+        self.0.state.borrow().core.listed().cloned().collect()
+    }
+
+    // ---- Inputs and effects ------------------------------------------------------------------
+
+    fn input(&self, input: Input) {
+        self.turn(|_, todo| todo.inputs.push(input));
+    }
+
+    /// Does something with the wires and carries out what follows, until nothing more follows.
+    fn turn(&self, work: impl FnOnce(&mut State, &mut Todo)) {
+        let mut todo = Todo::default();
+        let mut state = self.0.state.borrow_mut();
+        let before = state.core.deadlines.next_at();
+        let now = self.0.clock.now();
+        work(&mut state, &mut todo);
+        state.settle(now, &mut todo);
+        let after = state.core.deadlines.next_at();
+        drop(state);
+        if after != before {
+            self.0.rearm.notify_one();
+        }
+        for (link, dial) in todo.links {
+            spawn_local(self.clone().link(link, dial));
+        }
+    }
+
+    fn page(&self, page: Page) {
+        self.turn(|state, todo| {
+            state.tally.bulletin += page.malformed;
+            let news = page.changes.into_iter().map(|change| Input::List {
+                source: Source::Bulletin,
+                whole: change.whole,
+                hosts: change.hosts,
+            });
+            todo.inputs.extend(news);
+        });
+    }
+
+    /// Sweeps the deadlines when the earliest falls due.
+    async fn keep_time(self) {
+        loop {
+            let next = self.0.state.borrow().core.deadlines.next_at();
+            match next {
+                Some(at) => {
+                    tokio::select! {
+                        _ = self.0.rearm.notified() => continue,
+                        _ = tokio::time::sleep_until(self.0.clock.until(at)) => {}
+                    }
+                    let now = self.0.clock.now();
+                    self.turn(|state, todo| state.sweep(now, todo));
+                }
+                None => self.0.rearm.notified().await,
+            }
+        }
+    }
+
+    // ---- Sockets -----------------------------------------------------------------------------
+
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            if self.0.state.borrow().clients.len() >= self.0.most_clients {
+                self.0.room.notified().await;
+                continue;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nodelay(true);
+                    spawn_local(self.clone().client(stream));
+                    // A burst of connections must not keep those that are there waiting.
+                    tokio::task::yield_now().await;
+                }
+                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+            }
+        }
+    }
+
+    async fn client(self, stream: TcpStream) {
+        let queue = Rc::new(WriteQueue::default());
+        let no = {
+            let mut state = self.0.state.borrow_mut();
+            state.next_client += 1;
+            let no = state.next_client;
+            state.clients.add(no, queue.clone());
+            no
+        };
+        // Guards against a panic in reading one connection's bytes that leaves its entry behind.
+        let _gone = Gone { instance: self.clone(), no };
+        self.input(Input::ClientUp(Client { front: FrontKind::JsonLines, no }));
+        let mut reader = ClientReader { instance: self.clone(), no };
+        let end = serve(&stream, &queue, &self.0.pool, &mut reader).await;
+        if !matches!(end, End::Closed | End::Ours) {
+            self.0.state.borrow_mut().tally.lost += 1;
+        }
+    }
+
+    fn client_line(&self, no: u64, bytes: &[u8]) {
+        let client = Client { front: FrontKind::JsonLines, no };
+        match jsonl::parse(bytes) {
+            Ok(Line::Open(set_up)) => self.turn(|state, todo| {
+                state.clients.owes(no);
+                todo.inputs.push(Input::Open(client, set_up));
+            }),
+            Ok(Line::Close(sid, cause)) => self.input(Input::Close(client, sid, cause)),
+            Ok(Line::Closed(sid)) => self.input(Input::Heard(sid)),
+            Ok(Line::Probe(sid)) => {
+                let state = self.0.state.borrow();
+                let passed = state.core.ready() && !self.stopping();
+                state.clients.write(no, jsonl::probed(&sid, passed));
+            }
+            Ok(Line::Other) => {}
+            Err(LineError::Form(_) | LineError::Name | LineError::Lacks(_)) => {
+                self.0.state.borrow_mut().tally.lines += 1;
+            }
+        }
+    }
+
+    /// Makes a connection to a call server and serves it.
+    async fn link(self, no: u64, dial: SocketAddr) {
+        let Some(queue) = self.0.state.borrow().sip.queue_of(no) else { return };
+        let connect = tokio::time::timeout(self.0.connect_timeout, TcpStream::connect(dial));
+        let how = tokio::select! {
+            made = connect => match made {
+                Ok(Ok(stream)) => Ok(stream),
+                Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Err(LinkEnd::Refused),
+                Ok(Err(_)) | Err(_) => Err(LinkEnd::NotMade),
+            },
+            _ = aborted(&queue) => Err(LinkEnd::Ended(End::Ours)),
+        };
+        let end = match how {
+            Ok(stream) => {
+                let _ = stream.set_nodelay(true);
+                let now = self.0.clock.now();
+                self.turn(|state, _| state.sip.link_up(no, now));
+                let mut reader = LinkReader { instance: self.clone(), no };
+                LinkEnd::Ended(serve(&stream, &queue, &self.0.pool, &mut reader).await)
+            }
+            Err(end) => end,
+        };
+        let now = self.0.clock.now();
+        self.turn(|state, todo| state.sip.link_ended(no, end, now, todo));
+    }
+
+    async fn hear_peers(self, socket: Rc<UdpSocket>) {
+        let mut bytes = [0; LONGEST + 1];
+        loop {
+            match socket.recv_from(&mut bytes).await {
+                Ok((n, from)) if n <= LONGEST => {
+                    let number = self.0.state.borrow().peers.number_of(from);
+                    if let Some(number) = number {
+                        self.0.state.borrow_mut().tally.mail += 1;
+                        self.input(Input::Mail(number, bytes[..n].to_vec()));
+                    }
+                }
+                Ok(_) => {}
+                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+            }
+        }
+    }
+}
+
+async fn aborted(queue: &WriteQueue) {
+    while !queue.ends() {
+        queue.changed().await;
+    }
+}
+
+/// Takes a caller's connection off the books when its task ends, however it ends.
+struct Gone {
+    instance: Instance,
+    no: u64,
+}
+
+impl Drop for Gone {
+    fn drop(&mut self) {
+        let client = Client { front: FrontKind::JsonLines, no: self.no };
+        if self.instance.0.state.try_borrow_mut().is_ok() {
+            self.instance.turn(|state, todo| {
+                state.clients.remove(self.no);
+                todo.inputs.push(Input::ClientDown(client));
+            });
+        }
+        self.instance.0.room.notify_one();
+    }
+}
+
+impl State {
+    fn sweep(&mut self, now: Time, todo: &mut Todo) {
+        let mut effects = Vec::new();
+        let wires = self.core.sweep(now, &mut effects);
+        for (part, key) in wires {
+            match part {
+                WirePart::SipReach => self.sip.due(key, todo),
+                WirePart::IaxFront | WirePart::IaxServers => {}
+            }
+        }
+        self.carry_out(effects, now, todo);
+    }
+
+    fn settle(&mut self, now: Time, todo: &mut Todo) {
+        let mut effects = Vec::new();
+        loop {
+            let inputs: VecDeque<Input> = std::mem::take(&mut todo.inputs).into();
+            if inputs.is_empty() {
+                break;
+            }
+            for input in inputs {
+                self.core.handle(now, input, &mut effects);
+                let effects = std::mem::take(&mut effects);
+                self.carry_out(effects, now, todo);
+            }
+        }
+        for (at, part, key) in todo.dues.drain(..) {
+            self.core.deadlines.set(at, crate::core::Due::Wire(part, key));
+        }
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>, now: Time, todo: &mut Todo) {
+        for effect in effects {
+            match effect {
+                Effect::Answer(client, sid, body) => {
+                    self.clients.write(client.no, jsonl::ready(sid, &body));
+                    self.clients.settled(client.no);
+                }
+                Effect::Refuse { client, sid, again, wait } => {
+                    let cause = if again { jsonl::CAUSE_REFUSED } else { jsonl::CAUSE_FAILED };
+                    self.clients.write(client.no, jsonl::close(sid, cause, wait));
+                    self.clients.settled(client.no);
+                }
+                Effect::Release(client, sid, cause) => {
+                    self.clients.write(client.no, jsonl::close(sid, cause, Default::default()));
+                }
+                Effect::Heard(client, sid) => {
+                    self.clients.write(client.no, jsonl::closed(sid));
+                }
+                Effect::Settled(client) => self.clients.settled(client.no),
+                Effect::Invite { server, sid, class, number, left, body } => {
+                    self.sip.invite(server, sid, &class, &number, left, &body, now, todo);
+                }
+                Effect::Cancel(server, sid) => self.sip.cancel(server, sid),
+                Effect::Bye(server, sid, cause) => self.sip.bye(server, sid, cause, todo),
+                Effect::Reach { server, dial, protocol: Protocol::Sip, fresh } => {
+                    self.sip.reach(server, dial, fresh, todo);
+                }
+                Effect::Reach { protocol: Protocol::Iax2, .. } => {}
+                Effect::Withdraw(server) => self.sip.withdraw(server, todo),
+                Effect::Leave(server) => self.sip.leave(server, todo),
+                Effect::Tell(to, data) => {
+                    if let Some(socket) = &self.peer_socket {
+                        self.peers.tell(socket, to, &data);
+                    }
+                }
+                Effect::Log(line) => eprintln!("{line}"),
+            }
+        }
+    }
+}
+
+struct ClientReader {
+    instance: Instance,
+    no: u64,
+}
+
+impl Reader for ClientReader {
+    fn read(&mut self, bytes: &[u8]) -> Result<usize, Unreadable> {
+        let mut used = 0;
+        while let Some(length) = bytes[used..].iter().position(|byte| *byte == b'\n') {
+            let line = &bytes[used..used + length];
+            used += length + 1;
+            if !line.trim_ascii().is_empty() {
+                self.instance.client_line(self.no, line);
+            }
+        }
+        if bytes.len() - used > MESSAGE {
+            self.instance.0.state.borrow_mut().tally.lines += 1;
+            return Err(Unreadable);
+        }
+        Ok(used)
+    }
+    fn ended(&mut self) -> bool {
+        self.instance.0.state.borrow_mut().clients.half_closed(self.no)
+    }
+}
+
+struct LinkReader {
+    instance: Instance,
+    no: u64,
+}
+
+impl Reader for LinkReader {
+    fn read(&mut self, bytes: &[u8]) -> Result<usize, Unreadable> {
+        let mut used = 0;
+        loop {
+            // Empty lines between messages keep a connection alive and mean nothing.
+            while bytes[used..].starts_with(b"\r\n") {
+                used += 2;
+            }
+            match parse(&bytes[used..]) {
+                Ok(Some((message, length))) => {
+                    used += length;
+                    self.instance.turn(|state, todo| state.sip.message(self.no, &message, todo));
+                }
+                Ok(None) => return Ok(used),
+                Err(SipError::Message { length, .. }) => {
+                    used += length;
+                    self.instance.0.state.borrow_mut().tally.sip += 1;
+                }
+                Err(SipError::Framing(_)) => {
+                    self.instance.0.state.borrow_mut().tally.sip += 1;
+                    return Err(Unreadable);
+                }
+            }
+        }
+    }
+    fn ended(&mut self) -> bool {
+        false
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -149,6 +149,23 @@
     Unknown,
 }
 
+impl LoadField {
+    /// The field of this name, in the words of the wire or of the deployment's files.
+    pub fn named(name: &str) -> LoadField {
+        match name {
+            "idle" | "x0" => LoadField::Idle,
+            "circuits" | "x1" => LoadField::Circuits,
+            "busy_reqs" | "inflight" => LoadField::Busy,
+            "pending" | "queue" => LoadField::Pending,
+            "cpu_share" | "util" => LoadField::Share,
+            "svc_ms" | "latency_ms" => LoadField::Wait,
+            "max_rate" | "qps" => LoadField::MaxRate,
+            "reduce" | "eps" => LoadField::Reduce,
+            _ => LoadField::Unknown,
+        }
+    }
+}
+
 /// All that a controller is told at its start. Contradictions are read in the cautious sense: a share outside
 /// 0 to 1 is clamped, no gateways count as one, no attempts as one.
 #[derive(Debug, Clone, PartialEq, Default)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,7 +65,15 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod config;
+pub mod core;
+pub mod counters;
+pub mod directory;
+pub mod front;
+pub mod instance;
 pub mod interface;
+pub mod net;
 pub mod rules;
+pub mod upstream;
 pub mod window;
 pub mod wire;
--- /dev/null
+++ b/src/net/pool.rs
@@ -0,0 +1,81 @@
+//! Read buffers: all of one size, used again, bounded in number.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// The longest message allowed.
+pub const MESSAGE: usize = 16 * 1024;
+/// A buffer holds the longest message and its line end.
+pub const BUFFER: usize = MESSAGE + 256;
+
+/// The buffers that no connection holds. A connection holds one only while part of a message is in it.
+#[derive(Debug, Clone)]
+pub struct Pool(Rc<RefCell<Free>>);
+
+#[derive(Debug)]
+struct Free {
+    buffers: Vec<Vec<u8>>,
+    lent: usize,
+    most: usize,
+}
+
+impl Pool {
+    /// A pool that lends at most so many buffers at once.
+    pub fn new(most: usize) -> Self {
+        Self(Rc::new(RefCell::new(Free { buffers: Vec::new(), lent: 0, most })))
+    }
+
+    /// An empty buffer; `None` if all are lent.
+    pub fn take(&self) -> Option<Buffer> {
+        let mut free = self.0.borrow_mut();
+        if free.lent >= free.most {
+            return None;
+        }
+        free.lent += 1;
+        let bytes = free.buffers.pop().unwrap_or_else(|| vec![0; BUFFER]);
+        Some(Buffer { bytes, filled: 0, pool: self.clone() })
+    }
+
+    /// Buffers lent now.
+    pub fn lent(&self) -> usize {
+        self.0.borrow().lent
+    }
+}
+
+/// A buffer on loan; it goes back when dropped.
+#[derive(Debug)]
+pub struct Buffer {
+    bytes: Vec<u8>,
+    filled: usize,
+    pool: Pool,
+}
+
+impl Buffer {
+    /// What has been read and not used.
+    pub fn filled(&self) -> &[u8] {
+        &self.bytes[..self.filled]
+    }
+    /// Room for more.
+    pub fn room(&mut self) -> &mut [u8] {
+        &mut self.bytes[self.filled..]
+    }
+    /// So many bytes were read into the room.
+    pub fn add(&mut self, n: usize) {
+        self.filled = (self.filled + n).min(self.bytes.len());
+    }
+    /// So many bytes have been used.
+    pub fn used(&mut self, n: usize) {
+        let n = n.min(self.filled);
+        self.bytes.copy_within(n..self.filled, 0);
+        self.filled -= n;
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        let mut free = self.pool.0.borrow_mut();
+        free.lent -= 1;
+        let bytes = std::mem::take(&mut self.bytes);
+        free.buffers.push(bytes);
+    }
+}
--- /dev/null
+++ b/src/net/queue.rs
@@ -0,0 +1,139 @@
+//! What is to be written on a connection: whole messages, so that those of which no byte has left can be taken back.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io;
+
+use bytes::Bytes;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use crate::core::Sid;
+
+/// Bytes that may wait on one connection.
+const MOST_WAITING: usize = 512 * 1024;
+
+/// A message that waits.
+#[derive(Debug, Clone)]
+pub struct Item {
+    /// Its bytes.
+    pub bytes: Bytes,
+    /// The call whose set-up it is; such a message may be taken back.
+    pub set_up: Option<Sid>,
+}
+
+/// The queue of one connection; its reader and its writers share it.
+#[derive(Debug, Default)]
+pub struct WriteQueue {
+    inner: RefCell<Inner>,
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    items: VecDeque<Item>,
+    /// Bytes of the first item that have left.
+    left: usize,
+    waiting: usize,
+    finish: bool,
+    abort: bool,
+}
+
+impl WriteQueue {
+    /// Appends a message; `false` if it would wait behind too many others.
+    pub fn push(&self, bytes: Bytes, set_up: Option<Sid>) -> bool {
+        let mut inner = self.inner.borrow_mut();
+        if inner.waiting + bytes.len() > MOST_WAITING {
+            return false;
+        }
+        inner.waiting += bytes.len();
+        inner.items.push_back(Item { bytes, set_up });
+        self.changed.notify_one();
+        true
+    }
+
+    /// Takes back a set-up of which no byte has left.
+    pub fn take_back(&self, sid: Sid) -> bool {
+        let taken = self.take_where(|item| item.set_up == Some(sid));
+        !taken.is_empty()
+    }
+
+    /// Takes back all set-ups of which no byte has left.
+    pub fn take_back_all(&self) -> Vec<Sid> {
+        self.take_where(|item| item.set_up.is_some()).into_iter().filter_map(|item| item.set_up).collect()
+    }
+
+    /// Takes whatever has not begun to leave, for another connection.
+    pub fn take_rest(&self) -> Vec<Item> {
+        self.take_where(|_| true)
+    }
+
+    fn take_where(&self, which: impl Fn(&Item) -> bool) -> Vec<Item> {
+        let mut inner = self.inner.borrow_mut();
+        let begun = usize::from(inner.left > 0);
+        let mut taken = Vec::new();
+        let mut at = begun;
+        while at < inner.items.len() {
+            if !which(&inner.items[at]) {
+                at += 1;
+            } else if let Some(item) = inner.items.remove(at) {
+                inner.waiting -= item.bytes.len();
+                taken.push(item);
+            }
+        }
+        taken
+    }
+
+    /// The connection ends once all is written.
+    pub fn finish(&self) {
+        self.inner.borrow_mut().finish = true;
+        self.changed.notify_one();
+    }
+
+    /// The connection ends now.
+    pub fn abort(&self) {
+        self.inner.borrow_mut().abort = true;
+        self.changed.notify_one();
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.inner.borrow().items.is_empty()
+    }
+
+    pub(crate) fn ends(&self) -> bool {
+        let inner = self.inner.borrow();
+        inner.abort || (inner.finish && inner.items.is_empty())
+    }
+
+    pub(crate) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Writes until the connection takes no more.
+    pub(crate) fn write_to(&self, stream: &TcpStream) -> io::Result<()> {
+        let mut inner = self.inner.borrow_mut();
+        while let Some(item) = inner.items.front() {
+            match stream.try_write(&item.bytes[inner.left..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => inner.wrote(n),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Inner {
+    fn wrote(&mut self, n: usize) {
+        self.left += n;
+        let Some(item) = self.items.front() else { return };
+        if self.left >= item.bytes.len() {
+            self.waiting -= item.bytes.len();
+            self.left = 0;
+            self.items.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/src/upstream/sip/message.rs
@@ -0,0 +1,170 @@
+//! SIP messages as call servers speak them: bytes in, messages out and back.
+
+use std::fmt::Write as _;
+
+use bytes::Bytes;
+
+use crate::core::{Refusal, Report, Sid};
+use crate::interface::{Cause, LoadField, Span};
+use crate::net::pool::MESSAGE;
+
+/// Headers that a message may have at most.
+const MOST_HEADERS: usize = 64;
+
+/// A message, read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Message {
+    /// Its first line.
+    pub start: Start,
+    /// `Call-ID`.
+    pub call_id: String,
+    /// Number and method of `CSeq`.
+    pub cseq: (u32, String),
+    /// `Via`, for answers.
+    pub via: String,
+    /// `P-Reason`.
+    pub note: String,
+    /// `P-Line-Ms`.
+    pub line_ms: Option<f64>,
+    /// `P-Report`.
+    pub report: Report,
+    /// The cause in `Reason`.
+    pub cause: Option<u16>,
+    /// The description.
+    pub body: Vec<u8>,
+}
+
+/// A first line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Start {
+    /// A request: its method.
+    Request(String),
+    /// An answer: its code.
+    Answer(u16),
+}
+
+/// A message that cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum SipError {
+    /// Its end is not known: the connection is lost.
+    #[error("the end of a message is not known: {0}")]
+    Framing(&'static str),
+    /// It costs itself alone: so many bytes.
+    #[error("a message of {length} bytes is malformed: {what}")]
+    Message {
+        /// Bytes to pass over.
+        length: usize,
+        /// What is wrong.
+        what: &'static str,
+    },
+}
+
+/// Reads the message at the start of `bytes`: it and its length, or `None` while it is not whole.
+pub fn parse(bytes: &[u8]) -> Result<Option<(Message, usize)>, SipError> {
+    let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4) else {
+        return if bytes.len() > MESSAGE { Err(SipError::Framing("headers too long")) } else { Ok(None) };
+    };
+    let first = bytes.windows(2).position(|two| two == b"\r\n").unwrap_or(0);
+    let mut slots = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let headers = match httparse::parse_headers(&bytes[first + 2..end.max(first + 2)], &mut slots) {
+        Ok(httparse::Status::Complete((_, headers))) => headers,
+        Ok(httparse::Status::Partial) if first + 4 == end => &[],
+        Ok(httparse::Status::Partial) | Err(_) => return Err(SipError::Framing("headers cannot be read")),
+    };
+    let header = |long: &str, short: &str| {
+        let named = headers.iter().find(|h| {
+            h.name.eq_ignore_ascii_case(long) || (!short.is_empty() && h.name.eq_ignore_ascii_case(short))
+        });
+        named.and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim)
+    };
+    let length = header("Content-Length", "l").and_then(|l| l.parse::<usize>().ok());
+    let length = length.ok_or(SipError::Framing("no Content-Length"))?;
+    let whole = end.saturating_add(length);
+    if whole > MESSAGE {
+        return Err(SipError::Framing("longer than a message may be"));
+    }
+    if bytes.len() < whole {
+        return Ok(None);
+    }
+    let malformed = |what| SipError::Message { length: whole, what };
+    let start = std::str::from_utf8(&bytes[..first]).ok().and_then(start_of);
+    let start = start.ok_or(malformed("first line"))?;
+    let cseq = header("CSeq", "").and_then(|cseq| cseq.split_once(' '));
+    let cseq = cseq.and_then(|(no, method)| Some((no.parse().ok()?, method.trim().to_owned())));
+    let text = |name, short| header(name, short).unwrap_or_default().to_owned();
+    let message = Message {
+        start,
+        call_id: text("Call-ID", "i"),
+        cseq: cseq.unwrap_or_default(),
+        via: text("Via", "v"),
+        note: text("P-Reason", ""),
+        line_ms: header("P-Line-Ms", "").and_then(|ms| ms.parse().ok()),
+        report: report_of(header("P-Report", "").unwrap_or_default()),
+        cause: header("Reason", "").and_then(cause_in),
+        body: bytes[end..whole].to_vec(),
+    };
+    Ok(Some((message, whole)))
+}
+
+fn start_of(line: &str) -> Option<Start> {
+    if let Some(rest) = line.strip_prefix("SIP/2.0 ") {
+        let code = rest.split(' ').next()?.parse().ok()?;
+        return (100..700).contains(&code).then_some(Start::Answer(code));
+    }
+    let mut words = line.split(' ');
+    let (method, _uri, version) = (words.next()?, words.next()?, words.next()?);
+    let right = version == "SIP/2.0" && !method.is_empty() && words.next().is_none();
+    right.then(|| Start::Request(method.to_owned()))
+}
+
+/// `Q.850;cause=16`
+fn cause_in(reason: &str) -> Option<u16> {
+    reason.split(';').find_map(|part| part.trim().strip_prefix("cause=")?.trim().parse().ok())
+}
+
+/// `x0:12;x1:40;queue:3`; what cannot be read is left out.
+pub fn report_of(text: &str) -> Report {
+    let pairs = text.split(';').filter_map(|pair| pair.split_once(':'));
+    let figures =
+        pairs.filter_map(|(name, value)| Some((LoadField::named(name.trim()), value.trim().parse().ok()?)));
+    figures.filter(|(field, _)| *field != LoadField::Unknown).collect()
+}
+
+/// What a final answer but 2xx to an INVITE means.
+pub fn refusal_of(message: &Message, code: u16) -> (Refusal, Cause) {
+    let refusal = match code {
+        503 => Refusal::Full,
+        480 => Refusal::Moot,
+        504 => Refusal::Reset,
+        _ => Refusal::Error,
+    };
+    let cause = match (message.note.as_str(), message.line_ms) {
+        ("no_path", _) => Cause::NoCircuit,
+        ("queue_long", Some(ms)) if ms > 0.0 => Cause::ProcessorFullFor(Span::from_secs(ms / 1000.0)),
+        ("queue_long", _) => Cause::ProcessorFull,
+        ("line_taken", _) => Cause::NumberBusy,
+        ("sent_back" | "end_queue_long", _) => Cause::TurnedBack,
+        _ => Cause::None,
+    };
+    (refusal, cause)
+}
+
+/// A request of ours on a call.
+pub fn request(method: &str, number: &str, sid: Sid, cseq: (u32, &str), extra: &str, body: &str) -> Bytes {
+    let mut text = String::with_capacity(256 + body.len());
+    let _ = write!(
+        text,
+        "{method} sip:{number}@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {sid}\r\nCSeq: {} {}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+        cseq.0, cseq.1, body.len()
+    );
+    text.into()
+}
+
+/// Our answer to a request.
+pub fn answer(code: u16, phrase: &str, to: &Message) -> Bytes {
+    let Message { via, call_id, cseq: (no, method), .. } = to;
+    format!(
+        "SIP/2.0 {code} {phrase}\r\nVia: {via}\r\nCall-ID: {call_id}\r\nCSeq: {no} {method}\r\nContent-Length: 0\r\n\r\n"
+    )
+    .into()
+}
--- /dev/null
+++ b/src/upstream/sip/mod.rs
@@ -0,0 +1,371 @@
+//! SIP call servers: few long-lived connections each. No socket here: connections are numbers with a queue.
+
+pub mod message;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+
+use crate::core::{AttemptError, Broken, Input, Progress, ServerSays, Sid, WirePart};
+use crate::interface::{ServerId, Span, Time};
+use crate::net::conn::End;
+use crate::net::queue::WriteQueue;
+use crate::upstream::Todo;
+use message::{answer, refusal_of, report_of, request, Message, Start};
+
+/// Connections to one call server at most. One serves; the others stand in for one that has gone silent.
+const MOST_LINKS: usize = 3;
+/// A connection that has said nothing for so long after a set-up gets no new one while another may be had. Guards
+/// against calls lost into the open and silent connections of a machine that has vanished.
+const SUSPECT: Span = Span::from_millis(700);
+/// First and longest wait before a connection is tried again.
+const AGAIN: (Span, Span) = (Span::from_millis(100), Span::from_millis(1_000));
+/// Messages that may wait for the next connection.
+const MOST_WAITING: usize = 4_096;
+/// Stands in for a number that is not known, in the first line of a request that only its `Call-ID` matters for.
+const NO_NUMBER: &str = "0000000000000000";
+
+/// How a connection came to nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkEnd {
+    /// It was refused: no process is there.
+    Refused,
+    /// It was not made in time, or could not be made.
+    NotMade,
+    /// It stood and ended.
+    Ended(End),
+}
+
+#[derive(Debug)]
+struct Link {
+    queue: Rc<WriteQueue>,
+    up: bool,
+    /// Set-ups open on it, with the number called.
+    out: BTreeMap<Sid, Rc<str>>,
+    /// When the first set-up went out since anything was heard.
+    asked: Option<Time>,
+}
+
+#[derive(Debug)]
+struct Trunk {
+    dial: SocketAddr,
+    links: BTreeMap<u64, Link>,
+    /// Requests and answers for the next connection.
+    waiting: VecDeque<Bytes>,
+    /// Numbers called, of the calls that stand here.
+    standing: BTreeMap<Sid, Rc<str>>,
+    wanted: bool,
+    again: Span,
+}
+
+/// Plain counts of what these wires did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SipCounts {
+    /// INVITEs put to write.
+    pub invites: u64,
+    /// INVITEs taken back before a byte had left.
+    pub withdrawn: u64,
+    /// Messages read.
+    pub received: u64,
+    /// Messages that could not be read.
+    pub malformed: u64,
+    /// Connections made.
+    pub connected: u64,
+    /// Connections that could not be made.
+    pub not_made: u64,
+}
+
+/// All SIP call servers.
+#[derive(Debug, Default)]
+pub struct Trunks {
+    trunks: BTreeMap<ServerId, Trunk>,
+    of_link: BTreeMap<u64, ServerId>,
+    next_link: u64,
+    /// What was done so far.
+    pub counts: SipCounts,
+}
+
+impl Trunks {
+    /// Keeps up a way to a call server. One that started anew has none of the old connections.
+    pub fn reach(&mut self, server: ServerId, dial: SocketAddr, fresh: bool, todo: &mut Todo) {
+        if fresh {
+            self.drop_links(server, todo);
+        }
+        let trunk = self.trunks.entry(server).or_insert_with(|| Trunk {
+            dial,
+            links: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            standing: BTreeMap::new(),
+            wanted: true,
+            again: AGAIN.0,
+        });
+        (trunk.dial, trunk.wanted) = (dial, true);
+        if fresh {
+            (trunk.again, trunk.waiting) = (AGAIN.0, VecDeque::new());
+            trunk.standing.clear();
+        }
+        if trunk.links.is_empty() {
+            self.open_link(server, todo);
+        }
+    }
+
+    /// Gives up every way to a call server.
+    pub fn leave(&mut self, server: ServerId, todo: &mut Todo) {
+        if let Some(trunk) = self.trunks.get_mut(&server) {
+            trunk.wanted = false;
+            trunk.waiting.clear();
+            trunk.standing.clear();
+        }
+        self.drop_links(server, todo);
+    }
+
+    fn drop_links(&mut self, server: ServerId, todo: &mut Todo) {
+        let links = self.trunks.get(&server).map(|t| t.links.keys().copied().collect::<Vec<_>>());
+        for link in links.unwrap_or_default() {
+            if let Some(l) = self.trunks.get(&server).and_then(|t| t.links.get(&link)) {
+                l.queue.abort();
+            }
+            self.end_link(server, link, LinkEnd::Ended(End::Ours), todo);
+        }
+    }
+
+    fn open_link(&mut self, server: ServerId, todo: &mut Todo) -> Option<u64> {
+        let trunk = self.trunks.get_mut(&server)?;
+        let no = self.next_link;
+        self.next_link += 1;
+        let queue = Rc::new(WriteQueue::default());
+        trunk.links.insert(no, Link { queue, up: false, out: BTreeMap::new(), asked: None });
+        self.of_link.insert(no, server);
+        todo.links.push((no, trunk.dial));
+        Some(no)
+    }
+
+    /// The queue of a connection, for whoever serves its socket; `None` once it is not wanted any more.
+    pub fn queue_of(&self, link: u64) -> Option<Rc<WriteQueue>> {
+        let server = self.of_link.get(&link)?;
+        Some(self.trunks.get(server)?.links.get(&link)?.queue.clone())
+    }
+
+    /// Sends a set-up on the best connection there is.
+    #[allow(clippy::too_many_arguments)] // one set-up, as the wire wants it
+    pub fn invite(
+        &mut self,
+        server: ServerId,
+        sid: Sid,
+        class: &str,
+        number: &Rc<str>,
+        left: Span,
+        body: &str,
+        now: Time,
+        todo: &mut Todo,
+    ) {
+        let lost =
+            |progress, why| Input::Server(server, sid, ServerSays::Lost(AttemptError { why, progress }));
+        let Some(no) = self.pick(server, now, todo) else {
+            return todo.inputs.push(lost(Progress::NotConnected, Broken::Connect));
+        };
+        let extra = format!("P-Kind: {class}\r\nP-Time-Left: {}\r\n", left.0 / 1000);
+        let bytes = request("INVITE", number, sid, (1, "INVITE"), &extra, body);
+        let link = self.trunks.get_mut(&server).and_then(|t| t.links.get_mut(&no));
+        let Some(link) = link else { return };
+        if !link.queue.push(bytes, Some(sid)) {
+            return todo.inputs.push(lost(Progress::Queued, Broken::Withdrawn));
+        }
+        self.counts.invites += 1;
+        link.out.insert(sid, number.clone());
+        link.asked.get_or_insert(now);
+    }
+
+    fn pick(&mut self, server: ServerId, now: Time, todo: &mut Todo) -> Option<u64> {
+        let trunk = self.trunks.get(&server).filter(|t| t.wanted)?;
+        let suspect = |l: &Link| l.asked.is_some_and(|at| now.since(at) > SUSPECT);
+        let healthy = trunk.links.iter().filter(|(_, l)| l.up && !suspect(l));
+        let healthy = healthy.min_by_key(|(_, l)| l.out.len()).map(|(no, _)| *no);
+        let coming = || trunk.links.iter().find(|(_, l)| !l.up).map(|(no, _)| *no);
+        if let Some(no) = healthy.or_else(coming) {
+            return Some(no);
+        }
+        if trunk.links.len() < MOST_LINKS {
+            return self.open_link(server, todo);
+        }
+        trunk.links.keys().next_back().copied()
+    }
+
+    /// Gives a set-up up; one of which no byte has left is simply taken back.
+    pub fn cancel(&mut self, server: ServerId, sid: Sid) {
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        for link in trunk.links.values_mut() {
+            let Some(number) = link.out.remove(&sid) else { continue };
+            if link.queue.take_back(sid) {
+                self.counts.withdrawn += 1;
+            } else {
+                link.queue.push(request("CANCEL", &number, sid, (1, "CANCEL"), "", ""), None);
+            }
+        }
+    }
+
+    /// Ends a call that stands there, on any connection, or on the next.
+    pub fn bye(&mut self, server: ServerId, sid: Sid, cause: u16, todo: &mut Todo) {
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        let number = trunk.standing.remove(&sid);
+        let extra = format!("Reason: Q.850;cause={cause}\r\n");
+        let number = number.as_deref().unwrap_or(NO_NUMBER);
+        let bytes = request("BYE", number, sid, (2, "BYE"), &extra, "");
+        let up = trunk.links.values().filter(|l| l.up).max_by_key(|l| l.asked.is_none());
+        match up {
+            Some(link) => {
+                link.queue.push(bytes, None);
+            }
+            None if trunk.wanted && trunk.waiting.len() < MOST_WAITING => {
+                trunk.waiting.push_back(bytes);
+                if trunk.links.is_empty() {
+                    self.open_link(server, todo);
+                }
+            }
+            None => {}
+        }
+    }
+
+    /// Takes back every set-up of which no byte has left.
+    pub fn withdraw(&mut self, server: ServerId, todo: &mut Todo) {
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        for link in trunk.links.values_mut() {
+            let progress = if link.up { Progress::Queued } else { Progress::NotConnected };
+            for sid in link.queue.take_back_all() {
+                link.out.remove(&sid);
+                self.counts.withdrawn += 1;
+                let error = AttemptError { why: Broken::Withdrawn, progress };
+                todo.inputs.push(Input::Server(server, sid, ServerSays::Lost(error)));
+            }
+        }
+    }
+
+    /// A connection was made.
+    pub fn link_up(&mut self, no: u64, now: Time) {
+        let Some(server) = self.of_link.get(&no) else { return };
+        let Some(trunk) = self.trunks.get_mut(server) else { return };
+        self.counts.connected += 1;
+        trunk.again = AGAIN.0;
+        let waiting = std::mem::take(&mut trunk.waiting);
+        let Some(link) = trunk.links.get_mut(&no) else { return };
+        link.up = true;
+        link.asked = link.asked.map(|_| now);
+        for bytes in waiting {
+            link.queue.push(bytes, None);
+        }
+    }
+
+    /// A connection ended or could not be made.
+    pub fn link_ended(&mut self, no: u64, how: LinkEnd, now: Time, todo: &mut Todo) {
+        let Some(&server) = self.of_link.get(&no) else { return };
+        self.end_link(server, no, how, todo);
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        let none_up = trunk.links.values().all(|l| !l.up || l.asked.is_some());
+        let dead = matches!(how, LinkEnd::Refused | LinkEnd::Ended(End::Reset));
+        if dead && none_up {
+            // Guards against calls left standing at callers when the process that carried them dies: it sends no
+            // releases, it only resets its connections.
+            trunk.standing.clear();
+            todo.inputs.push(Input::Died(server));
+        }
+        if trunk.wanted && trunk.links.is_empty() {
+            todo.dues.push((now.plus(trunk.again), WirePart::SipReach, u64::from(server.address)));
+            trunk.again = Span(trunk.again.0.saturating_mul(2)).min(AGAIN.1);
+        }
+    }
+
+    fn end_link(&mut self, server: ServerId, no: u64, how: LinkEnd, todo: &mut Todo) {
+        self.of_link.remove(&no);
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        let Some(link) = trunk.links.remove(&no) else { return };
+        if !matches!(how, LinkEnd::Ended(_)) {
+            self.counts.not_made += 1;
+        }
+        let rest = link.queue.take_rest();
+        let never_left = |sid: &Sid| rest.iter().any(|item| item.set_up == Some(*sid));
+        for sid in link.out.keys() {
+            let (why, progress) = match (link.up, never_left(sid)) {
+                (false, _) => (Broken::Connect, Progress::NotConnected),
+                (true, true) => (Broken::Ended, Progress::Queued),
+                (true, false) => (Broken::Ended, Progress::Written),
+            };
+            let error = AttemptError { why, progress };
+            todo.inputs.push(Input::Server(server, *sid, ServerSays::Lost(error)));
+        }
+        let others = rest.into_iter().filter(|item| item.set_up.is_none()).map(|item| item.bytes);
+        let room = MOST_WAITING.saturating_sub(trunk.waiting.len());
+        trunk.waiting.extend(others.take(room));
+    }
+
+    /// A wait before the next connection is over.
+    pub fn due(&mut self, key: u64, todo: &mut Todo) {
+        let server = ServerId { address: u32::try_from(key).unwrap_or(0), port: 0 };
+        if self.trunks.get(&server).is_some_and(|t| t.wanted && t.links.is_empty()) {
+            self.open_link(server, todo);
+        }
+    }
+
+    /// A message came on a connection.
+    pub fn message(&mut self, no: u64, message: &Message, todo: &mut Todo) {
+        self.counts.received += 1;
+        let Some(&server) = self.of_link.get(&no) else { return };
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        let Some(link) = trunk.links.get_mut(&no) else { return };
+        link.asked = None;
+        let sid = Sid::parse(&message.call_id);
+        match (&message.start, message.cseq.1.as_str(), sid) {
+            (Start::Answer(100..=199), _, _) => {}
+            (Start::Answer(code), "INVITE", Some(sid)) => {
+                let number = link.out.remove(&sid);
+                let known = number.or_else(|| trunk.standing.get(&sid).cloned());
+                let to = known.as_deref().unwrap_or(NO_NUMBER);
+                link.queue.push(request("ACK", to, sid, (message.cseq.0, "ACK"), "", ""), None);
+                let says = match (*code, std::str::from_utf8(&message.body)) {
+                    (200..=299, Ok(body)) => {
+                        trunk.standing.insert(sid, known.unwrap_or_else(|| NO_NUMBER.into()));
+                        ServerSays::Answered(body.into())
+                    }
+                    (200..=299, Err(_)) => {
+                        // A description that is no text cannot be passed on unchanged: the call must not stand.
+                        self.counts.malformed += 1;
+                        self.bye(server, sid, 16, todo);
+                        let error = AttemptError { why: Broken::Unreadable, progress: Progress::Answered };
+                        ServerSays::Lost(error)
+                    }
+                    (code, _) => {
+                        let (refusal, cause) = refusal_of(message, code);
+                        ServerSays::Refused(refusal, cause, message.report.clone())
+                    }
+                };
+                todo.inputs.push(Input::Server(server, sid, says));
+            }
+            (Start::Answer(_), _, _) => {}
+            (Start::Request(method), _, sid) => match (method.as_str(), sid) {
+                ("BYE", Some(sid)) => {
+                    link.queue.push(answer(200, "OK", message), None);
+                    link.out.remove(&sid);
+                    trunk.standing.remove(&sid);
+                    let says = ServerSays::Released(message.cause.unwrap_or(16), message.report.clone());
+                    todo.inputs.push(Input::Server(server, sid, says));
+                }
+                ("NOTIFY", _) => {
+                    let in_body = std::str::from_utf8(&message.body).map(report_of).unwrap_or_default();
+                    let report = if message.report.is_empty() { in_body } else { message.report.clone() };
+                    if !report.is_empty() {
+                        todo.inputs.push(Input::Load(server, report));
+                    }
+                }
+                ("ACK", _) => {}
+                ("OPTIONS", _) => {
+                    link.queue.push(answer(200, "OK", message), None);
+                }
+                _ => {
+                    self.counts.malformed += 1;
+                    link.queue.push(answer(501, "Not Implemented", message), None);
+                }
+            },
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -548,7 +548,7 @@
     Ok(Settings {
         gateways: params.balancers,
         classes: classes.collect(),
-        load_fields: params.report.names.iter().map(|name| load_field(name)).collect(),
+        load_fields: params.report.names.iter().map(|name| LoadField::named(name)).collect(),
         max_attempts: params.bounds.max_attempts,
         may_cancel: params.bounds.cancel,
         may_say_retry_after: params.bounds.retry_after,
@@ -563,17 +563,3 @@
         own_cell: params.extra.this_node.and_then(|node| cell_of(node as f32)),
     })
 }
-
-fn load_field(name: &str) -> LoadField {
-    match name {
-        "idle" => LoadField::Idle,
-        "circuits" => LoadField::Circuits,
-        "busy_reqs" => LoadField::Busy,
-        "pending" => LoadField::Pending,
-        "cpu_share" => LoadField::Share,
-        "svc_ms" => LoadField::Wait,
-        "max_rate" => LoadField::MaxRate,
-        "reduce" => LoadField::Reduce,
-        _ => LoadField::Unknown,
-    }
-}
