Release the calls of a call server only when it dies or stays silent for 7.5 s

A machine vanished for 9.1 s; its calls went on standing, those that ended in its silence were told on the next connection, over 8 s late; at its return the old connections were reset and all calls released (core/route.rs: fresh and gone called server_died; sip/mod.rs: any reset did). Ruled out: lost client connections, crossing releases. Change: reset counts as death only within 2 s of the last word; a return or a listing as gone keeps the calls; 7.5 s of silence releases them.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -44,6 +44,8 @@
 pub enum WirePart {
     /// Reconnecting to a SIP call server.
     SipReach,
+    /// The silence of a SIP call server that has calls.
+    SipWatch,
     /// A leg of the IAX2 front.
     IaxFront,
     /// A leg or a call server of the IAX2 side.
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -81,10 +81,6 @@
             entries.push(entry_of(server, &line));
             let before = self.servers.get(&server).map(|l| (l.line.born_ms, l.line.dial, l.line.state));
             let fresh = before.is_some_and(|(born, dial, _)| born != line.born_ms || dial != line.dial);
-            if fresh {
-                // Guards against calls that a machine's restart has cut and that nobody would ever release.
-                self.server_died(server, out);
-            }
             let (dial, protocol, state) = (line.dial, line.protocol, line.state);
             self.servers.insert(server, Listed { line, source });
             match state {
@@ -94,8 +90,8 @@
                     out.push(Effect::Reach { server, dial, protocol, fresh });
                 }
                 ServerState::Gone => {
+                    // Its calls end when it says so, dies or stays silent: the list is seconds late and may be wrong.
                     out.push(Effect::Withdraw(server));
-                    self.server_died(server, out);
                     out.push(Effect::Leave(server));
                 }
             }
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -277,7 +277,7 @@
     },
     /// Take back what has not left for this call server.
     Withdraw(ServerId),
-    /// Give up every way to this call server.
+    /// Make no more ways to this call server.
     Leave(ServerId),
     /// Send a datagram to a peer, or to all.
     Tell(Option<u16>, Vec<u8>),
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -457,6 +457,7 @@
         for (part, key) in wires {
             match part {
                 WirePart::SipReach => self.sip.due(key, todo),
+                WirePart::SipWatch => self.sip.watch(key, now, todo),
                 WirePart::IaxFront | WirePart::IaxServers => {}
             }
         }
@@ -510,7 +511,7 @@
                 }
                 Effect::Reach { protocol: Protocol::Iax2, .. } => {}
                 Effect::Withdraw(server) => self.sip.withdraw(server, todo),
-                Effect::Leave(server) => self.sip.leave(server, todo),
+                Effect::Leave(server) => self.sip.leave(server),
                 Effect::Tell(to, data) => {
                     if let Some(socket) = &self.peer_socket {
                         self.peers.tell(socket, to, &data);
@@ -564,7 +565,8 @@
             match parse(&bytes[used..]) {
                 Ok(Some((message, length))) => {
                     used += length;
-                    self.instance.turn(|state, todo| state.sip.message(self.no, &message, todo));
+                    let now = self.instance.0.clock.now();
+                    self.instance.turn(|state, todo| state.sip.message(self.no, &message, now, todo));
                 }
                 Ok(None) => return Ok(used),
                 Err(SipError::Message { length, .. }) => {
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -22,6 +22,14 @@
 const SUSPECT: Span = Span::from_millis(700);
 /// First and longest wait before a connection is tried again.
 const AGAIN: (Span, Span) = (Span::from_millis(100), Span::from_millis(1_000));
+/// A process whose connections are reset within this time of its last word has died; one that was silent for longer
+/// comes back from a silence and may still hold its calls. Guards against calls that stand cut at a mere return.
+const LATELY: Span = Span::from_millis(2_000);
+/// After so long without a word, a call server with calls is offered another connection, on which it must speak.
+const ASK_AFTER: Span = Span::from_millis(3_000);
+/// After so long without a word its calls are released. Guards against calls that end unheard at a machine that has
+/// vanished: their callers are owed a release within 8 s, and any call may have ended with the first moment.
+const CUT_AFTER: Span = Span::from_millis(7_500);
 /// Messages that may wait for the next connection.
 const MOST_WAITING: usize = 4_096;
 /// Stands in for a number that is not known, in the first line of a request that only its `Call-ID` matters for.
@@ -58,6 +66,10 @@
     standing: BTreeMap<Sid, Rc<str>>,
     wanted: bool,
     again: Span,
+    /// The last word from there.
+    heard: Time,
+    /// Whether its silence is watched.
+    watched: bool,
 }
 
 /// Plain counts of what these wires did.
@@ -100,25 +112,58 @@
             standing: BTreeMap::new(),
             wanted: true,
             again: AGAIN.0,
+            heard: Time::default(),
+            watched: false,
         });
         (trunk.dial, trunk.wanted) = (dial, true);
         if fresh {
-            (trunk.again, trunk.waiting) = (AGAIN.0, VecDeque::new());
-            trunk.standing.clear();
+            trunk.again = AGAIN.0;
         }
         if trunk.links.is_empty() {
             self.open_link(server, todo);
         }
     }
 
-    /// Gives up every way to a call server.
-    pub fn leave(&mut self, server: ServerId, todo: &mut Todo) {
+    /// Makes no more ways to a call server. Those that are there end by themselves: releases may still come on them.
+    pub fn leave(&mut self, server: ServerId) {
         if let Some(trunk) = self.trunks.get_mut(&server) {
             trunk.wanted = false;
             trunk.waiting.clear();
-            trunk.standing.clear();
         }
-        self.drop_links(server, todo);
+    }
+
+    /// Looks whether a call server with calls has been silent for too long.
+    pub fn watch(&mut self, key: u64, now: Time, todo: &mut Todo) {
+        let server = ServerId { address: u32::try_from(key).unwrap_or(0), port: 0 };
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        trunk.watched = !trunk.standing.is_empty();
+        if !trunk.watched {
+            return;
+        }
+        let silent = now.since(trunk.heard);
+        if silent >= CUT_AFTER {
+            trunk.watched = false;
+            self.died(server, todo);
+            return;
+        }
+        let next = if silent < ASK_AFTER { ASK_AFTER } else { CUT_AFTER };
+        todo.dues.push((trunk.heard.plus(next), WirePart::SipWatch, key));
+        let speaks = trunk.links.values().any(|l| !l.up);
+        if silent >= ASK_AFTER && trunk.wanted && !speaks && trunk.links.len() < MOST_LINKS {
+            self.open_link(server, todo);
+        }
+    }
+
+    /// The calls there are over as far as anybody here can know; should it live, it is told so.
+    fn died(&mut self, server: ServerId, todo: &mut Todo) {
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        for (sid, number) in std::mem::take(&mut trunk.standing) {
+            if trunk.wanted && trunk.waiting.len() < MOST_WAITING {
+                let reason = "Reason: Q.850;cause=41\r\n";
+                trunk.waiting.push_back(request("BYE", &number, sid, (2, "BYE"), reason, ""));
+            }
+        }
+        todo.inputs.push(Input::Died(server));
     }
 
     fn drop_links(&mut self, server: ServerId, todo: &mut Todo) {
@@ -247,7 +292,7 @@
         let Some(server) = self.of_link.get(&no) else { return };
         let Some(trunk) = self.trunks.get_mut(server) else { return };
         self.counts.connected += 1;
-        trunk.again = AGAIN.0;
+        (trunk.again, trunk.heard) = (AGAIN.0, now);
         let waiting = std::mem::take(&mut trunk.waiting);
         let Some(link) = trunk.links.get_mut(&no) else { return };
         link.up = true;
@@ -263,13 +308,20 @@
         self.end_link(server, no, how, todo);
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         let none_up = trunk.links.values().all(|l| !l.up || l.asked.is_some());
-        let dead = matches!(how, LinkEnd::Refused | LinkEnd::Ended(End::Reset));
+        let dead = match how {
+            LinkEnd::Refused => true,
+            LinkEnd::Ended(End::Reset) => now.since(trunk.heard) < LATELY,
+            // One that has left the list and closes its last connection has nothing more to say.
+            LinkEnd::Ended(End::Closed) => !trunk.wanted,
+            LinkEnd::Ended(_) | LinkEnd::NotMade => false,
+        };
         if dead && none_up {
             // Guards against calls left standing at callers when the process that carried them dies: it sends no
             // releases, it only resets its connections.
             trunk.standing.clear();
             todo.inputs.push(Input::Died(server));
         }
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
         if trunk.wanted && trunk.links.is_empty() {
             todo.dues.push((now.plus(trunk.again), WirePart::SipReach, u64::from(server.address)));
             trunk.again = Span(trunk.again.0.saturating_mul(2)).min(AGAIN.1);
@@ -308,12 +360,12 @@
     }
 
     /// A message came on a connection.
-    pub fn message(&mut self, no: u64, message: &Message, todo: &mut Todo) {
+    pub fn message(&mut self, no: u64, message: &Message, now: Time, todo: &mut Todo) {
         self.counts.received += 1;
         let Some(&server) = self.of_link.get(&no) else { return };
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         let Some(link) = trunk.links.get_mut(&no) else { return };
-        link.asked = None;
+        (link.asked, trunk.heard) = (None, now);
         let sid = Sid::parse(&message.call_id);
         match (&message.start, message.cseq.1.as_str(), sid) {
             (Start::Answer(100..=199), _, _) => {}
@@ -325,6 +377,10 @@
                 let says = match (*code, std::str::from_utf8(&message.body)) {
                     (200..=299, Ok(body)) => {
                         trunk.standing.insert(sid, known.unwrap_or_else(|| NO_NUMBER.into()));
+                        if !std::mem::replace(&mut trunk.watched, true) {
+                            let key = u64::from(server.address);
+                            todo.dues.push((now.plus(ASK_AFTER), WirePart::SipWatch, key));
+                        }
                         ServerSays::Answered(body.into())
                     }
                     (200..=299, Err(_)) => {
