--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,188 @@
+//! The command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::LocalSet;
+
+use crate::config::{self, ConfigError};
+use crate::control::{self, Command, Reply, Request};
+use crate::instance::Bound;
+
+/// Exit code where the program could not do its work.
+const FAILED: u8 = 1;
+/// Exit code of a bad configuration or command line.
+const BAD_CONFIG: u8 = 2;
+/// Exit code where no agent answers.
+const NO_AGENT: u8 = 3;
+
+/// A session controller. Without a command it is the platform's, told by ROUTER_NAME, ROUTER_LISTEN and
+/// ROUTER_CONFIG.
+#[derive(Debug, Parser)]
+#[command(name = "lockpoint", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Commands>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Commands {
+    /// Run the instances that an operator's file lists.
+    Agent {
+        /// The operator's file.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Say whether an operator's file can be used.
+    Check {
+        /// The operator's file.
+        file: PathBuf,
+        /// Answer in JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// What the agent's instances do and which call servers they know.
+    Status(Ask),
+    /// The agent's counters.
+    Stats(Ask),
+    /// Let instances finish what they took and end; the agent stays.
+    Drain(Ask),
+    /// The same; without an instance named, the agent ends too.
+    Stop(Ask),
+}
+
+#[derive(Debug, Args)]
+struct Ask {
+    /// One instance; all where none is named.
+    instance: Option<String>,
+    /// The agent's control socket.
+    #[arg(long, env = "LOCKPOINT_CONTROL", default_value = "lockpoint.sock")]
+    control: PathBuf,
+    /// Answer in JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Does what the command line says.
+pub fn main() -> ExitCode {
+    let cli = match Cli::try_parse() {
+        Ok(cli) => cli,
+        Err(error) => {
+            let _ = error.print();
+            return ExitCode::from(u8::try_from(error.exit_code()).unwrap_or(BAD_CONFIG));
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return complain(FAILED, &format!("cannot start: {error}")),
+    };
+    match cli.command {
+        None => runtime.block_on(platform()),
+        Some(Commands::Agent { config }) => LocalSet::new().block_on(&runtime, agent(config)),
+        Some(Commands::Check { file, json }) => check(&file, json),
+        Some(Commands::Status(ask)) => runtime.block_on(put(Command::Status, ask)),
+        Some(Commands::Stats(ask)) => runtime.block_on(put(Command::Stats, ask)),
+        Some(Commands::Drain(ask)) => runtime.block_on(put(Command::Drain, ask)),
+        Some(Commands::Stop(ask)) => runtime.block_on(put(Command::Stop, ask)),
+    }
+}
+
+fn complain(code: u8, what: &str) -> ExitCode {
+    eprintln!("lockpoint: {}", what.replace('\n', " "));
+    ExitCode::from(code)
+}
+
+async fn told_to_stop() {
+    let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
+
+async fn platform() -> ExitCode {
+    let config = match config::from_platform(|name| std::env::var(name).ok()) {
+        Ok(config) => config,
+        Err(error) => return complain(BAD_CONFIG, &error.to_string()),
+    };
+    match Bound::open(config).await {
+        Ok(bound) => {
+            let counters = bound.run(told_to_stop()).await;
+            eprintln!("{}", counters.line());
+            ExitCode::SUCCESS
+        }
+        Err(error) => complain(BAD_CONFIG, &error.to_string()),
+    }
+}
+
+async fn agent(file: PathBuf) -> ExitCode {
+    let config = match config::from_file(&file) {
+        Ok(config) => config,
+        Err(error) => return complain(BAD_CONFIG, &error.to_string()),
+    };
+    match control::run(config, told_to_stop(), |line| eprintln!("{line}")).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => complain(BAD_CONFIG, &error.to_string()),
+    }
+}
+
+fn check(file: &std::path::Path, json: bool) -> ExitCode {
+    let checked = config::from_file(file);
+    if json {
+        let value = match &checked {
+            Ok(config) => {
+                let names: Vec<&str> = config.instances.iter().map(|i| i.name.as_str()).collect();
+                serde_json::json!({"ok": true, "instances": names})
+            }
+            Err(ConfigError::Key { key, why, .. }) => {
+                serde_json::json!({"ok": false, "key": key, "why": why})
+            }
+            Err(error) => serde_json::json!({"ok": false, "why": error.to_string()}),
+        };
+        println!("{value}");
+        return if checked.is_ok() { ExitCode::SUCCESS } else { ExitCode::from(BAD_CONFIG) };
+    }
+    match checked {
+        Ok(config) => {
+            println!("{}: {} instance(s), no fault found", file.display(), config.instances.len());
+            ExitCode::SUCCESS
+        }
+        Err(error) => complain(BAD_CONFIG, &error.to_string()),
+    }
+}
+
+async fn put(command: Command, ask: Ask) -> ExitCode {
+    let request = Request { command, instance: ask.instance };
+    let reply = match control::ask(&ask.control, &request).await {
+        Ok(reply) => reply,
+        Err(error) => return complain(NO_AGENT, &error.to_string()),
+    };
+    if let Reply::Error { why } = &reply {
+        return complain(FAILED, why);
+    }
+    if ask.json {
+        println!("{}", serde_json::to_string(&reply).unwrap_or_default());
+        return ExitCode::SUCCESS;
+    }
+    match reply {
+        Reply::Status { instances } => {
+            for i in instances {
+                let at = |name: &str, at: Option<String>| {
+                    at.map(|at| format!("  {name} {at}")).unwrap_or_default()
+                };
+                println!("{}  {}{}{}", i.name, i.state, at("listen", i.listen), at("iax2", i.iax2));
+                for server in i.servers {
+                    println!("    {}  {}  {}", server.host, server.dial, server.state);
+                }
+            }
+        }
+        Reply::Stats { instances } => instances.iter().for_each(|i| println!("{}", control::stats_line(i))),
+        Reply::Error { .. } => {}
+    }
+    ExitCode::SUCCESS
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -50,12 +50,18 @@
     pub peer_listen: Option<SocketAddr>,
     /// Where peers are.
     pub peers: Peers,
+    /// The IAX2 front and the IAX2 call servers; off on the platform.
+    pub iax2: Option<Iax2Config>,
+    /// DNS-SD records that name IAX2 call servers; off on the platform.
+    pub dns_sd: Option<DnsSdConfig>,
     /// The bulletin.
     pub bulletin: Option<SocketAddr>,
     /// Events of the bulletin so far.
     pub known: Page,
     /// Names of the zones.
     pub zones: Vec<String>,
+    /// How long a caller waits who does not say so.
+    pub usual_left: Span,
     /// Descriptors allowed.
     pub sockets: usize,
     /// How long a connection may take.
@@ -64,6 +70,41 @@
     pub core: CoreConfig,
 }
 
+/// IAX2 of an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Iax2Config {
+    /// Where IAX2 callers send to.
+    pub listen: SocketAddr,
+    /// Where IAX2 call servers are spoken to from.
+    #[serde(default = "any_address")]
+    pub from: SocketAddr,
+    /// How long a caller waits who does not say so, in milliseconds; the class's time where it is not given.
+    #[serde(default)]
+    pub left_ms: Option<u64>,
+}
+
+fn any_address() -> SocketAddr {
+    SocketAddr::from(([0, 0, 0, 0], 0))
+}
+
+/// DNS-SD of an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct DnsSdConfig {
+    /// The resolver that is asked.
+    pub resolver: SocketAddr,
+    /// The service whose PTR records are followed, as in `_iax._udp.clubs.example.`
+    pub service: String,
+}
+
+/// What an operator's file says: the agent and its instances.
+#[derive(Debug, Clone)]
+pub struct OperatorConfig {
+    /// Path of the control socket.
+    pub control: PathBuf,
+    /// The instances, in the file's order.
+    pub instances: Vec<InstanceConfig>,
+}
+
 /// Figures of the settings that the decisions do not need.
 #[derive(Debug, Clone)]
 pub(crate) struct Extras {
@@ -71,11 +112,15 @@
     pub(crate) zones: Vec<String>,
     pub(crate) connect_timeout: Span,
     pub(crate) most_held: usize,
+    pub(crate) longest: Span,
 }
 
 #[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
 struct ClassName {
     name: String,
+    #[serde(default)]
+    hard_limit_us: u64,
 }
 
 pub(crate) fn extras_of(settings: &Value) -> Result<Extras, (String, String)> {
@@ -85,7 +130,9 @@
     let names = settings.get("zones").and_then(Value::as_array);
     let zones = names.into_iter().flatten().filter_map(Value::as_str).map(str::to_owned).collect();
     let bound = |name: &str| settings.get("bounds").and_then(|b| b.get(name)).and_then(Value::as_u64);
+    let longest = classes.iter().map(|class| class.hard_limit_us).max().filter(|us| *us > 0);
     Ok(Extras {
+        longest: Span(longest.unwrap_or(9_000_000)),
         classes: classes.into_iter().map(|class| class.name.into()).collect(),
         zones,
         connect_timeout: Span(bound("connect-timeout-us").filter(|us| *us > 0).unwrap_or(500_000)),
@@ -178,6 +225,9 @@
         listen: form.listen,
         peer_listen: form.peer_listen,
         peers: Peers { each: form.peers, all: form.peers_all },
+        iax2: None,
+        dns_sd: None,
+        usual_left: extras.longest,
         bulletin: Some(form.bulletin),
         known,
         zones: extras.zones,
@@ -191,3 +241,112 @@
         },
     })
 }
+
+#[derive(Deserialize)]
+struct OperatorForm {
+    control: PathBuf,
+    #[serde(default)]
+    instance: Vec<InstanceForm>,
+}
+
+#[derive(Deserialize)]
+struct InstanceForm {
+    name: String,
+    #[serde(default)]
+    listen: Option<SocketAddr>,
+    #[serde(default)]
+    seed: Option<u64>,
+    #[serde(default)]
+    limits: LimitsForm,
+    #[serde(default)]
+    bulletin: Option<SocketAddr>,
+    #[serde(default)]
+    iax2: Option<Iax2Config>,
+    #[serde(default)]
+    dns_sd: Option<DnsSdConfig>,
+    settings: Value,
+}
+
+/// Reads an operator's file.
+pub fn from_file(file: &Path) -> Result<OperatorConfig, ConfigError> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|e| ConfigError::File { file: file.to_owned(), why: e.to_string() })?;
+    parse_operator(file, &text)
+}
+
+/// Reads an operator's TOML.
+pub fn parse_operator(file: &Path, text: &str) -> Result<OperatorConfig, ConfigError> {
+    let wrong = |key: String, why: String| ConfigError::Key { file: file.to_owned(), key, why };
+    let table: toml::Table =
+        text.parse().map_err(|e: toml::de::Error| wrong(place_of(text, &e), e.message().to_owned()))?;
+    let form: OperatorForm = serde_path_to_error::deserialize(table).map_err(|error| {
+        let key = error.path().to_string();
+        wrong(key, error.into_inner().message().to_owned())
+    })?;
+    if form.instance.is_empty() {
+        return Err(wrong("instance".to_owned(), "no instance is listed".to_owned()));
+    }
+    let mut instances: Vec<InstanceConfig> = Vec::new();
+    for (at, instance) in form.instance.into_iter().enumerate() {
+        let key = |name: &str| format!("instance[{at}].{name}");
+        if instances.iter().any(|other| other.name == instance.name) {
+            return Err(wrong(key("name"), format!("'{}' is listed twice", instance.name)));
+        }
+        let config = instance_of(instance).map_err(|(name, why)| wrong(key(&name), why))?;
+        instances.push(config);
+    }
+    Ok(OperatorConfig { control: form.control, instances })
+}
+
+fn place_of(text: &str, error: &toml::de::Error) -> String {
+    let before = error.span().and_then(|span| text.get(..span.start));
+    before.map_or_else(|| "?".to_owned(), |before| format!("line {}", before.lines().count().max(1)))
+}
+
+fn instance_of(form: InstanceForm) -> Result<InstanceConfig, (String, String)> {
+    let settings =
+        parse_settings(form.settings.to_string().as_bytes()).map_err(|why| ("settings".to_owned(), why))?;
+    let extras = extras_of(&form.settings)?;
+    if form.listen.is_none() && form.iax2.is_none() {
+        return Err((
+            "listen".to_owned(),
+            "neither 'listen' nor 'iax2' is given: nobody could call".to_owned(),
+        ));
+    }
+    if form.bulletin.is_none() && form.dns_sd.is_none() {
+        return Err((
+            "bulletin".to_owned(),
+            "neither 'bulletin' nor 'dns_sd' is given: no call servers".to_owned(),
+        ));
+    }
+    if form.dns_sd.is_some() && form.iax2.is_none() {
+        return Err(("dns_sd".to_owned(), "it names IAX2 call servers, but 'iax2' is not given".to_owned()));
+    }
+    let left = form.iax2.as_ref().and_then(|iax2| iax2.left_ms).map(Span::from_millis);
+    Ok(InstanceConfig {
+        name: form.name,
+        listen: form.listen,
+        peer_listen: None,
+        peers: Peers::default(),
+        iax2: form.iax2,
+        dns_sd: form.dns_sd,
+        usual_left: left.unwrap_or(extras.longest),
+        bulletin: form.bulletin,
+        known: Page::default(),
+        zones: extras.zones,
+        sockets: form.limits.sockets.max(16),
+        connect_timeout: extras.connect_timeout,
+        core: CoreConfig {
+            settings,
+            classes: extras.classes,
+            most_held: extras.most_held,
+            seed: form.seed.unwrap_or_else(any_seed),
+        },
+    })
+}
+
+/// A seed that differs from start to start, for instances whose file names none.
+fn any_seed() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::collections::hash_map::RandomState::new().build_hasher().finish()
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,327 @@
+//! The agent's control socket: one JSON request a line in, one JSON answer a line out.
+
+use std::cell::RefCell;
+use std::io;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+use crate::config::OperatorConfig;
+use crate::counters::Counters;
+use crate::instance::{Bound, Instance, StartError};
+use crate::interface::ServerState;
+
+/// The longest line taken.
+const LONGEST: u64 = 64 * 1024;
+/// A client that says nothing for so long is dropped.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// What may be asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Command {
+    /// The state of instances and of the call servers that they know.
+    Status,
+    /// Their counters.
+    Stats,
+    /// Finish what was taken and end; the agent stays.
+    Drain,
+    /// The same, and without an instance named the agent ends too.
+    Stop,
+}
+
+/// A request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// What is asked.
+    pub command: Command,
+    /// Of which instance; all where it is not said.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<String>,
+}
+
+/// A call server as an instance knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[allow(missing_docs)] // the names say it
+pub struct ServerStatus {
+    pub host: String,
+    pub dial: String,
+    pub state: String,
+}
+
+/// An instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[allow(missing_docs)] // the names say it
+pub struct InstanceStatus {
+    pub name: String,
+    pub state: String,
+    pub listen: Option<String>,
+    pub iax2: Option<String>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub servers: Vec<ServerStatus>,
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "answer", rename_all = "lowercase")]
+pub enum Reply {
+    /// To `status`, `drain` and `stop`.
+    Status {
+        /// The instances asked for.
+        instances: Vec<InstanceStatus>,
+    },
+    /// To `stats`.
+    Stats {
+        /// The instances asked for, each an object of counters.
+        instances: Vec<serde_json::Value>,
+    },
+    /// It could not be done.
+    Error {
+        /// Why.
+        why: String,
+    },
+}
+
+/// An agent that cannot run.
+#[derive(Debug, thiserror::Error)]
+pub enum AgentError {
+    /// An instance cannot start.
+    #[error("instance '{name}': {why}")]
+    Start {
+        /// Which.
+        name: String,
+        /// Why.
+        why: StartError,
+    },
+    /// The control socket cannot be made.
+    #[error("control socket {}: {why}", path.display())]
+    Control {
+        /// Where.
+        path: PathBuf,
+        /// Why.
+        why: io::Error,
+    },
+}
+
+/// A control socket that does not answer.
+#[derive(Debug, thiserror::Error)]
+pub enum AskError {
+    /// Nobody is there.
+    #[error("no agent answers at {}: {why}", path.display())]
+    Nobody {
+        /// Where.
+        path: PathBuf,
+        /// Why.
+        why: io::Error,
+    },
+    /// What came is no answer.
+    #[error("the agent's answer cannot be read: {0}")]
+    Answer(String),
+}
+
+struct Running {
+    name: String,
+    listen: Option<String>,
+    iax2: Option<String>,
+    instance: Instance,
+    stop: Rc<Notify>,
+    done: bool,
+}
+
+struct Agent {
+    running: RefCell<Vec<Running>>,
+    changed: Notify,
+    end: RefCell<bool>,
+}
+
+/// Runs the instances of a file, each its own controller, until they are all told to stop. To be called within a
+/// `LocalSet`.
+pub async fn run(
+    config: OperatorConfig,
+    stop: impl std::future::Future<Output = ()>,
+    log: impl Fn(&str) + Clone + 'static,
+) -> Result<(), AgentError> {
+    let mut bounds = Vec::new();
+    for instance in config.instances {
+        let name = instance.name.clone();
+        bounds.push(Bound::open(instance).await.map_err(|why| AgentError::Start { name, why })?);
+    }
+    let listener = listen(&config.control).await?;
+    let agent =
+        Rc::new(Agent { running: RefCell::default(), changed: Notify::new(), end: RefCell::new(false) });
+    for (at, bound) in bounds.into_iter().enumerate() {
+        let stop = Rc::new(Notify::new());
+        let text = |address: Option<std::net::SocketAddr>| address.map(|a| a.to_string());
+        agent.running.borrow_mut().push(Running {
+            name: bound.handle().name().to_owned(),
+            listen: text(bound.listens_at()),
+            iax2: text(bound.iax2_at()),
+            instance: bound.handle(),
+            stop: stop.clone(),
+            done: false,
+        });
+        let (agent, log) = (agent.clone(), log.clone());
+        spawn_local(async move {
+            let counters = bound.run(async move { stop.notified().await }).await;
+            log(&counters.line());
+            if let Some(running) = agent.running.borrow_mut().get_mut(at) {
+                running.done = true;
+            }
+            agent.changed.notify_one();
+        });
+    }
+    let serving = spawn_local(serve(agent.clone(), listener));
+    tokio::pin!(stop);
+    let mut asked = false;
+    loop {
+        tokio::select! {
+            _ = &mut stop, if !asked => {
+                asked = true;
+                agent.ask_to_stop(None);
+                *agent.end.borrow_mut() = true;
+            }
+            _ = agent.changed.notified() => {}
+        }
+        if *agent.end.borrow() && agent.running.borrow().iter().all(|running| running.done) {
+            break;
+        }
+    }
+    serving.abort();
+    let _ = std::fs::remove_file(&config.control);
+    Ok(())
+}
+
+/// Takes the place of a socket that nobody answers at any more, never of a live one or of another kind of file.
+async fn listen(path: &Path) -> Result<UnixListener, AgentError> {
+    use std::os::unix::fs::FileTypeExt;
+    let fail = |why| AgentError::Control { path: path.to_owned(), why };
+    if let Ok(found) = std::fs::symlink_metadata(path) {
+        if !found.file_type().is_socket() {
+            return Err(fail(io::Error::new(io::ErrorKind::AlreadyExists, "another file is in the way")));
+        }
+        if UnixStream::connect(path).await.is_ok() {
+            return Err(fail(io::Error::new(io::ErrorKind::AddrInUse, "an agent is running there")));
+        }
+        std::fs::remove_file(path).map_err(fail)?;
+    }
+    let listener = UnixListener::bind(path).map_err(fail)?;
+    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600)).map_err(fail)?;
+    Ok(listener)
+}
+
+async fn serve(agent: Rc<Agent>, listener: UnixListener) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            let agent = agent.clone();
+            spawn_local(async move {
+                let _ = tokio::time::timeout(PATIENCE, answer(agent, stream)).await;
+            });
+        }
+    }
+}
+
+async fn answer(agent: Rc<Agent>, mut stream: UnixStream) -> io::Result<()> {
+    let (reader, mut writer) = stream.split();
+    let mut line = String::new();
+    BufReader::new(reader.take(LONGEST)).read_line(&mut line).await?;
+    let reply = match serde_json::from_str::<Request>(&line) {
+        Ok(request) => agent.answer(&request),
+        Err(error) => Reply::Error { why: format!("the request cannot be read: {error}") },
+    };
+    let mut text = serde_json::to_string(&reply).unwrap_or_default();
+    text.push('\n');
+    writer.write_all(text.as_bytes()).await?;
+    writer.shutdown().await
+}
+
+impl Agent {
+    fn answer(&self, request: &Request) -> Reply {
+        let wanted = request.instance.as_deref();
+        if let Some(name) = wanted {
+            if !self.running.borrow().iter().any(|running| running.name == name) {
+                return Reply::Error { why: format!("no instance is named '{name}'") };
+            }
+        }
+        match request.command {
+            Command::Status => Reply::Status { instances: self.status(wanted) },
+            Command::Stats => {
+                let running = self.running.borrow();
+                let asked = running.iter().filter(|r| wanted.is_none_or(|name| r.name == name));
+                let counters = asked.map(|r| serde_json::to_value(r.instance.counters()).unwrap_or_default());
+                Reply::Stats { instances: counters.collect() }
+            }
+            Command::Drain | Command::Stop => {
+                self.ask_to_stop(wanted);
+                if request.command == Command::Stop && wanted.is_none() {
+                    *self.end.borrow_mut() = true;
+                    self.changed.notify_one();
+                }
+                Reply::Status { instances: self.status(wanted) }
+            }
+        }
+    }
+
+    fn ask_to_stop(&self, wanted: Option<&str>) {
+        for running in self.running.borrow().iter().filter(|r| wanted.is_none_or(|name| r.name == name)) {
+            running.instance.begin_stop();
+            running.stop.notify_one();
+        }
+    }
+
+    fn status(&self, wanted: Option<&str>) -> Vec<InstanceStatus> {
+        let running = self.running.borrow();
+        let asked = running.iter().filter(|r| wanted.is_none_or(|name| r.name == name));
+        let state = |r: &Running| match (r.done, r.instance.stopping(), r.instance.ready()) {
+            (true, _, _) => "stopped",
+            (false, true, _) => "draining",
+            (false, false, true) => "serving",
+            (false, false, false) => "waiting for a list",
+        };
+        let servers = |r: &Running| {
+            r.instance.servers().into_iter().map(|line| ServerStatus {
+                host: line.host,
+                dial: line.dial.to_string(),
+                state: match line.state {
+                    ServerState::Ready => "ready",
+                    ServerState::Draining => "draining",
+                    ServerState::Gone => "gone",
+                }
+                .to_owned(),
+            })
+        };
+        asked
+            .map(|r| InstanceStatus {
+                name: r.name.clone(),
+                state: state(r).to_owned(),
+                listen: r.listen.clone(),
+                iax2: r.iax2.clone(),
+                servers: servers(r).collect(),
+            })
+            .collect()
+    }
+}
+
+/// Asks the agent at this socket.
+pub async fn ask(path: &Path, request: &Request) -> Result<Reply, AskError> {
+    let nobody = |why| AskError::Nobody { path: path.to_owned(), why };
+    let mut stream = UnixStream::connect(path).await.map_err(nobody)?;
+    let mut line = serde_json::to_string(request).map_err(|e| AskError::Answer(e.to_string()))?;
+    line.push('\n');
+    stream.write_all(line.as_bytes()).await.map_err(nobody)?;
+    let mut text = String::new();
+    let read = tokio::time::timeout(PATIENCE, stream.read_to_string(&mut text)).await;
+    read.map_err(|_| AskError::Answer("it did not come in time".to_owned()))?.map_err(nobody)?;
+    serde_json::from_str(&text).map_err(|e| AskError::Answer(e.to_string()))
+}
+
+/// The counters of an instance as one line of text.
+pub fn stats_line(counters: &serde_json::Value) -> String {
+    serde_json::from_value::<Counters>(counters.clone()).map_or_else(|_| counters.to_string(), |c| c.line())
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -20,6 +20,7 @@
 use crate::rules::Controller;
 use book::Book;
 use deadlines::Deadlines;
+pub use relay::{CAUSE_CLEARED, CAUSE_CUT};
 pub use types::*;
 
 /// What the core has set deadlines for.
@@ -219,6 +220,11 @@
         self.counts
     }
 
+    /// How a call server is spoken to.
+    pub fn protocol_of(&self, server: ServerId) -> Option<Protocol> {
+        self.servers.get(&server).map(|listed| listed.line.protocol)
+    }
+
     /// The call servers known: name, address, state.
     pub fn listed(&self) -> impl Iterator<Item = &HostLine> {
         self.servers.values().map(|listed| &listed.line)
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,9 +1,9 @@
 //! What a controller took in, sent and answered, in one place to print.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// The counts of one controller.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[allow(missing_docs)] // the names say it; README lists them
 pub struct Counters {
     pub name: String,
@@ -30,6 +30,13 @@
     pub malformed_sip: u64,
     pub malformed_bulletin: u64,
     pub bulletin_failures: u64,
+    pub dns_failures: u64,
+    pub iax2_callers: usize,
+    pub iax2_calls_in: u64,
+    pub iax2_calls_out: u64,
+    pub iax2_withdrawn: u64,
+    pub iax2_received: u64,
+    pub iax2_malformed: u64,
     pub mail: u64,
     pub lost_connections: u64,
 }
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -1,3 +1,4 @@
 //! Who the call servers are.
 
 pub mod bulletin;
+pub mod dns_sd;
--- a/src/front/iax2/mod.rs
+++ b/src/front/iax2/mod.rs
@@ -1,1 +1,234 @@
-//! IAX2 callers.
+//! IAX2 callers: call boxes and judge desks, each call a leg of its own. Signalling only.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::core::{Client, FrontKind, Input, SetUp, Sid, WirePart};
+use crate::front::jsonl::{CAUSE_FAILED, CAUSE_REFUSED};
+use crate::iax2::describe::{describe, description_in};
+use crate::iax2::frame::{ie, parse, Control, Datagram, Elements, Frame, Iax, Kind};
+use crate::iax2::legs::{Legs, Told};
+use crate::interface::{Cell, Span, Time};
+use crate::upstream::Todo;
+
+/// Q.850: the number has no valid form.
+const CAUSE_BAD_NUMBER: u16 = 28;
+/// Q.850: the call has ended in the usual way.
+const CAUSE_CLEARED: u16 = 16;
+/// IAX_IE_IAX_UNKNOWN names the subclass that is not supported.
+const IE_UNKNOWN: u8 = 0x17;
+
+/// A caller's leg.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Caller {
+    client: u64,
+    sid: Sid,
+}
+
+/// What a caller need not say.
+#[derive(Debug, Clone)]
+pub struct Usual {
+    /// Class of a call whose NEW names no context.
+    pub class: Rc<str>,
+    /// How long a caller waits who does not say so.
+    pub left: Span,
+    /// Makes the names of calls whose NEW bears none.
+    pub seed: u64,
+}
+
+/// Plain counts of what this front did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FrontCounts {
+    /// Datagrams that came.
+    pub received: u64,
+    /// Datagrams that could not be read, or a NEW that was no set-up.
+    pub malformed: u64,
+    /// NEWs of calls not known before.
+    pub news: u64,
+}
+
+/// All IAX2 callers.
+#[derive(Debug)]
+pub struct Callers {
+    legs: Legs<Caller>,
+    of_client: BTreeMap<u64, u16>,
+    next: u64,
+    usual: Usual,
+    /// What was done so far.
+    pub counts: FrontCounts,
+}
+
+impl Callers {
+    /// A front without a caller.
+    pub fn new(usual: Usual) -> Self {
+        let counts = FrontCounts::default();
+        Self { legs: Legs::default(), of_client: BTreeMap::new(), next: 0, usual, counts }
+    }
+
+    /// How many legs have a call that is not over.
+    pub fn live(&self) -> usize {
+        self.of_client.len()
+    }
+
+    /// Whether nothing waits to be acknowledged.
+    pub fn all_acked(&self) -> bool {
+        self.legs.all_acked()
+    }
+
+    /// A datagram came.
+    pub fn datagram(&mut self, from: SocketAddr, bytes: &[u8], now: Time, todo: &mut Todo) {
+        self.counts.received += 1;
+        let frame = match parse(bytes) {
+            Ok(Datagram::Full(frame)) => frame,
+            Ok(Datagram::Media) => return,
+            Err(_) => {
+                self.counts.malformed += 1;
+                return;
+            }
+        };
+        let told = self.legs.receive(from, &frame, now, &mut todo.to_callers);
+        match told {
+            Some(Told::New(new)) => self.set_up(from, &new, now, todo),
+            Some(Told::Frame(no, frame)) => self.frame(no, &frame, now, todo),
+            Some(Told::Lost(caller)) => self.lost(caller, todo),
+            None => {}
+        }
+        if frame.dest != 0 {
+            self.arm(frame.dest, todo);
+        }
+    }
+
+    fn set_up(&mut self, from: SocketAddr, new: &Frame, now: Time, todo: &mut Todo) {
+        self.next += 1;
+        let client = self.next;
+        let named = new.elements.variable("callid").and_then(|name| Sid::parse(&name));
+        let sid = named.unwrap_or_else(|| Sid::numbered(mixed(self.usual.seed.wrapping_add(client))));
+        let caller = Caller { client, sid };
+        let Some(no) = self.legs.answer(from, new, caller, now, &mut todo.to_callers) else { return };
+        self.counts.news += 1;
+        match self.set_up_of(sid, new) {
+            Some(set_up) => {
+                self.of_client.insert(client, no);
+                let client = Client { front: FrontKind::Iax2, no: client };
+                todo.inputs.push(Input::ClientUp(client));
+                todo.inputs.push(Input::Open(client, set_up));
+            }
+            None => {
+                self.counts.malformed += 1;
+                self.over(no, Iax::Reject, CAUSE_BAD_NUMBER, Span::default(), now, todo);
+            }
+        }
+        self.arm(no, todo);
+    }
+
+    fn set_up_of(&self, sid: Sid, new: &Frame) -> Option<SetUp> {
+        let elements = &new.elements;
+        let number = elements.text(ie::CALLED_NUMBER)?;
+        if number.is_empty() || !number.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.+".contains(&b)) {
+            return None;
+        }
+        let class = elements.text(ie::CALLED_CONTEXT).filter(|class| !class.is_empty());
+        let left = match elements.variable("left") {
+            Some(ms) => Span::from_millis(ms.parse().ok()?),
+            None => self.usual.left,
+        };
+        let dest = elements.variable("dest").and_then(|cell| cell.parse().ok()).map(Cell);
+        Some(SetUp {
+            sid,
+            class: class.map_or_else(|| self.usual.class.clone(), Into::into),
+            left,
+            number: number.into(),
+            dest,
+            redialled: false,
+            body: description_in(elements).into(),
+        })
+    }
+
+    fn frame(&mut self, no: u16, frame: &Frame, now: Time, todo: &mut Todo) {
+        let Some(&caller) = self.legs.of(no) else { return };
+        match frame.kind {
+            Kind::Iax(Iax::Hangup | Iax::Reject) | Kind::Control(Control::Hangup) => {
+                let cause = frame.elements.number(ie::CAUSE_CODE).and_then(|c| u16::try_from(c).ok());
+                let client = Client { front: FrontKind::Iax2, no: caller.client };
+                let cause = cause.unwrap_or(CAUSE_CLEARED);
+                todo.inputs.push(Input::Close(client, caller.sid, cause));
+                self.legs.end(no, now);
+                self.lost(caller, todo);
+            }
+            Kind::Iax(Iax::Other(subclass)) => {
+                let elements = Elements::default().with(IE_UNKNOWN, &[subclass]);
+                self.legs.send(no, Kind::Iax(Iax::Unsupport), elements, now, &mut todo.to_callers);
+            }
+            _ => {}
+        }
+    }
+
+    fn lost(&mut self, caller: Caller, todo: &mut Todo) {
+        if self.of_client.remove(&caller.client).is_some() {
+            todo.inputs.push(Input::ClientDown(Client { front: FrontKind::Iax2, no: caller.client }));
+        }
+    }
+
+    /// The call stands.
+    pub fn ready(&mut self, client: u64, body: &str, now: Time, todo: &mut Todo) {
+        let Some(&no) = self.of_client.get(&client) else { return };
+        let out = &mut todo.to_callers;
+        self.legs.send(no, Kind::Iax(Iax::Accept), describe(Elements::default(), body), now, out);
+        self.legs.send(no, Kind::Control(Control::Answer), Elements::default(), now, out);
+        self.legs.stands(no);
+        self.arm(no, todo);
+    }
+
+    /// Refused or failed.
+    pub fn refuse(&mut self, client: u64, again: bool, wait: Span, now: Time, todo: &mut Todo) {
+        let Some(&no) = self.of_client.get(&client) else { return };
+        let cause = if again { CAUSE_REFUSED } else { CAUSE_FAILED };
+        self.over(no, Iax::Reject, cause, wait, now, todo);
+    }
+
+    /// A call that stood is over.
+    pub fn release(&mut self, client: u64, cause: u16, now: Time, todo: &mut Todo) {
+        let Some(&no) = self.of_client.get(&client) else { return };
+        self.over(no, Iax::Hangup, cause, Span::default(), now, todo);
+    }
+
+    fn over(&mut self, no: u16, how: Iax, cause: u16, wait: Span, now: Time, todo: &mut Todo) {
+        let code = u8::try_from(cause).unwrap_or(u8::MAX);
+        let text = if cause == CAUSE_REFUSED { "try again" } else { "call ended" };
+        let mut elements = Elements::default().with(ie::CAUSE, text.as_bytes()).with(ie::CAUSE_CODE, &[code]);
+        if wait > Span::default() {
+            elements = elements.with_variable("wait", &wait.0.div_ceil(1000).to_string());
+        }
+        let caller = self.legs.of(no).copied();
+        self.legs.send(no, Kind::Iax(how), elements, now, &mut todo.to_callers);
+        self.legs.end(no, now);
+        if let Some(caller) = caller {
+            self.lost(caller, todo);
+        }
+        self.arm(no, todo);
+    }
+
+    /// Does what is due on a leg.
+    pub fn due(&mut self, key: u64, now: Time, todo: &mut Todo) {
+        let no = u16::try_from(key).unwrap_or(0);
+        if let Some(Told::Lost(caller)) = self.legs.due(no, now, &mut todo.to_callers) {
+            self.lost(caller, todo);
+        }
+        self.arm(no, todo);
+    }
+
+    fn arm(&self, no: u16, todo: &mut Todo) {
+        if let Some(at) = self.legs.next_due(no) {
+            todo.dues.push((at, WirePart::IaxFront, u64::from(no)));
+        }
+    }
+}
+
+/// Spreads neighbouring numbers over all 64 bits (the finisher of SplitMix64).
+fn mixed(number: u64) -> u64 {
+    let mut z = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/src/iax2/leg.rs
@@ -0,0 +1,190 @@
+//! One leg: sequence numbers, acknowledgements, retransmission.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use crate::iax2::frame::{Elements, Frame, Iax, Kind};
+use crate::interface::{Span, Time};
+
+/// A frame not acknowledged is sent again after this, then at doubling gaps.
+const FIRST_AGAIN: Span = Span::from_millis(250);
+/// The longest such gap.
+const LONGEST_GAP: Span = Span::from_millis(2_000);
+/// A frame not acknowledged for so long: the other side is silent.
+const SILENT_AFTER: Span = Span::from_millis(4_500);
+/// Frames that may wait to be acknowledged.
+const MOST_UNACKED: usize = 64;
+
+#[derive(Debug)]
+struct Sent {
+    frame: Frame,
+    first: Time,
+    next: Time,
+    gap: Span,
+}
+
+/// What a frame means to its leg.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Got {
+    /// The next in turn: it is to be acted on, once.
+    Next,
+    /// Seen before, ahead of its turn, or about the exchange itself: nothing to act on.
+    Nothing,
+    /// The other side does not know the call.
+    Unknown,
+}
+
+/// One leg of a call.
+#[derive(Debug)]
+pub struct Leg {
+    /// The call number here.
+    pub local: u16,
+    /// The call number there; 0 until known.
+    pub remote: u16,
+    /// Where the other side is.
+    pub peer: SocketAddr,
+    /// The last frame from there.
+    pub heard: Time,
+    began: Time,
+    stamp: Option<u32>,
+    oseq: u8,
+    iseq: u8,
+    unacked: VecDeque<Sent>,
+}
+
+impl Leg {
+    /// A leg that begins now.
+    pub fn new(local: u16, remote: u16, peer: SocketAddr, now: Time) -> Self {
+        let unacked = VecDeque::new();
+        Self { local, remote, peer, heard: now, began: now, stamp: None, oseq: 0, iseq: 0, unacked }
+    }
+
+    /// Sends a frame that is sent again until acknowledged.
+    pub fn send(&mut self, kind: Kind, elements: Elements, now: Time, out: &mut Vec<Vec<u8>>) {
+        let passed = u32::try_from(now.since(self.began).0 / 1000).unwrap_or(u32::MAX);
+        // No two frames of a leg bear the same time: acknowledgements name frames by it.
+        let stamp = self.stamp.map_or(passed, |last| passed.max(last.saturating_add(1)));
+        self.stamp = Some(stamp);
+        self.send_at(stamp, kind, elements, now, out);
+    }
+
+    /// Sends a frame that bears a time of the other side's: an echo.
+    fn send_at(&mut self, timestamp: u32, kind: Kind, elements: Elements, now: Time, out: &mut Vec<Vec<u8>>) {
+        let frame = self.frame(timestamp, kind, elements);
+        out.push(frame.bytes());
+        self.oseq = self.oseq.wrapping_add(1);
+        if self.unacked.len() < MOST_UNACKED {
+            self.unacked.push_back(Sent { frame, first: now, next: now.plus(FIRST_AGAIN), gap: FIRST_AGAIN });
+        }
+    }
+
+    fn frame(&self, timestamp: u32, kind: Kind, elements: Elements) -> Frame {
+        let Leg { local: source, remote: dest, oseq, iseq, .. } = *self;
+        Frame { source, dest, again: false, timestamp, oseq, iseq, kind, elements }
+    }
+
+    /// Sends what takes no sequence number.
+    fn say(&self, iax: Iax, timestamp: u32, out: &mut Vec<Vec<u8>>) {
+        out.push(self.frame(timestamp, Kind::Iax(iax), Elements::default()).bytes());
+    }
+
+    /// Takes a frame: books what it acknowledges, answers what concerns the exchange itself.
+    pub fn receive(&mut self, frame: &Frame, now: Time, out: &mut Vec<Vec<u8>>) -> Got {
+        self.heard = now;
+        if self.remote == 0 {
+            self.remote = frame.source;
+        }
+        self.acknowledged(frame.iseq);
+        match frame.kind {
+            Kind::Iax(Iax::Ack) => return Got::Nothing,
+            Kind::Iax(Iax::Inval) => return Got::Unknown,
+            Kind::Iax(Iax::Vnak) => {
+                self.resend(now, out);
+                return Got::Nothing;
+            }
+            _ => {}
+        }
+        let ahead = frame.oseq.wrapping_sub(self.iseq) as i8;
+        if ahead > 0 {
+            self.say(Iax::Vnak, frame.timestamp, out);
+            return Got::Nothing;
+        }
+        if ahead < 0 {
+            // A retransmission: our acknowledgement was lost. It is no new event.
+            self.say(Iax::Ack, frame.timestamp, out);
+            return Got::Nothing;
+        }
+        self.iseq = self.iseq.wrapping_add(1);
+        match frame.kind {
+            Kind::Iax(Iax::Ping) => self.echo(Iax::Pong, frame, now, out),
+            Kind::Iax(Iax::LagRq) => self.echo(Iax::LagRp, frame, now, out),
+            Kind::Iax(Iax::Pong | Iax::LagRp) => {
+                self.say(Iax::Ack, frame.timestamp, out);
+                Got::Nothing
+            }
+            _ => {
+                self.say(Iax::Ack, frame.timestamp, out);
+                Got::Next
+            }
+        }
+    }
+
+    fn echo(&mut self, iax: Iax, frame: &Frame, now: Time, out: &mut Vec<Vec<u8>>) -> Got {
+        self.send_at(frame.timestamp, Kind::Iax(iax), Elements::default(), now, out);
+        Got::Nothing
+    }
+
+    /// All frames ahead of `iseq` have arrived. One that we never sent acknowledges nothing.
+    fn acknowledged(&mut self, iseq: u8) {
+        if (self.oseq.wrapping_sub(iseq) as i8) < 0 {
+            return;
+        }
+        while let Some(sent) = self.unacked.front() {
+            if (iseq.wrapping_sub(sent.frame.oseq) as i8) <= 0 {
+                break;
+            }
+            self.unacked.pop_front();
+        }
+    }
+
+    fn resend(&mut self, now: Time, out: &mut Vec<Vec<u8>>) {
+        let (iseq, dest) = (self.iseq, self.remote);
+        for sent in &mut self.unacked {
+            (sent.frame.again, sent.frame.iseq, sent.frame.dest) = (true, iseq, dest);
+            sent.next = now.plus(sent.gap);
+            out.push(sent.frame.bytes());
+        }
+    }
+
+    /// Sends again what is overdue. `false`: the other side is silent.
+    pub fn due(&mut self, now: Time, out: &mut Vec<Vec<u8>>) -> bool {
+        let (iseq, dest) = (self.iseq, self.remote);
+        for sent in &mut self.unacked {
+            if now.since(sent.first) >= SILENT_AFTER {
+                return false;
+            }
+            if sent.next <= now {
+                (sent.frame.again, sent.frame.iseq, sent.frame.dest) = (true, iseq, dest);
+                sent.gap = Span(sent.gap.0 * 2).min(LONGEST_GAP);
+                sent.next = now.plus(sent.gap).min(sent.first.plus(SILENT_AFTER));
+                out.push(sent.frame.bytes());
+            }
+        }
+        true
+    }
+
+    /// When `due` has something to do.
+    pub fn next_due(&self) -> Option<Time> {
+        self.unacked.iter().map(|sent| sent.next).min()
+    }
+
+    /// Whether all that was sent has been acknowledged.
+    pub fn all_acked(&self) -> bool {
+        self.unacked.is_empty()
+    }
+
+    /// Sends nothing again of what was sent so far.
+    pub fn forget_sent(&mut self) {
+        self.unacked.clear();
+    }
+}
--- /dev/null
+++ b/src/iax2/legs.rs
@@ -0,0 +1,242 @@
+//! The legs at one socket: their numbers, which are used again only after a while, and those that have ended.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::iax2::frame::{Elements, Frame, Iax, Kind, MOST_NUMBER};
+use crate::iax2::leg::{Got, Leg};
+use crate::interface::{Span, Time};
+
+/// An ended call's number rests this long. Guards against frames still under way that would meet a new call.
+const REST: Span = Span::from_millis(10_000);
+/// A leg that stands and has heard nothing for so long asks whether the other side is there.
+const PING_AFTER: Span = Span::from_millis(2_500);
+/// Legs at one socket, resting ones with them.
+const MOST: usize = 20_000;
+
+/// A datagram to be sent.
+pub type Outgoing = (SocketAddr, Vec<u8>);
+
+/// What is told of a leg.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Told<T> {
+    /// A frame to be acted on.
+    Frame(u16, Frame),
+    /// The other side is silent or does not know the call; the leg is gone.
+    Lost(T),
+    /// A NEW of a call not known here.
+    New(Frame),
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    leg: Leg,
+    /// What it is for; `None` once the call is over.
+    of: Option<T>,
+    /// Whether the silence of the other side is to be noticed.
+    pings: bool,
+    /// When the number may be used again.
+    rests_until: Option<Time>,
+    /// The time that the other side's NEW bore.
+    new_stamp: Option<u32>,
+}
+
+/// The legs at one socket.
+#[derive(Debug)]
+pub struct Legs<T> {
+    entries: BTreeMap<u16, Entry<T>>,
+    by_peer: BTreeMap<(SocketAddr, u16), u16>,
+    last: u16,
+}
+
+impl<T> Default for Legs<T> {
+    fn default() -> Self {
+        Self { entries: BTreeMap::new(), by_peer: BTreeMap::new(), last: 0 }
+    }
+}
+
+impl<T: Clone> Legs<T> {
+    fn free_number(&mut self) -> Option<u16> {
+        if self.entries.len() >= MOST {
+            return None;
+        }
+        // Round and round, so that a number rests for as long as it can.
+        for _ in 0..MOST_NUMBER {
+            self.last = if self.last >= MOST_NUMBER { 1 } else { self.last + 1 };
+            if !self.entries.contains_key(&self.last) {
+                return Some(self.last);
+            }
+        }
+        None
+    }
+
+    /// Begins a leg towards `peer`; `None` if no number is free.
+    pub fn call(&mut self, peer: SocketAddr, of: T, now: Time) -> Option<u16> {
+        let local = self.free_number()?;
+        let leg = Leg::new(local, 0, peer, now);
+        let entry = Entry { leg, of: Some(of), pings: false, rests_until: None, new_stamp: None };
+        self.entries.insert(local, entry);
+        Some(local)
+    }
+
+    /// Begins a leg that a NEW asks for, and acknowledges it.
+    pub fn answer(
+        &mut self,
+        peer: SocketAddr,
+        new: &Frame,
+        of: T,
+        now: Time,
+        out: &mut Vec<Outgoing>,
+    ) -> Option<u16> {
+        let local = self.free_number()?;
+        let mut leg = Leg::new(local, new.source, peer, now);
+        let mut bytes = Vec::new();
+        leg.receive(new, now, &mut bytes);
+        out.extend(bytes.into_iter().map(|b| (peer, b)));
+        let new_stamp = Some(new.timestamp);
+        self.by_peer.insert((peer, new.source), local);
+        self.entries.insert(local, Entry { leg, of: Some(of), pings: false, rests_until: None, new_stamp });
+        Some(local)
+    }
+
+    /// Sends a frame on a leg.
+    pub fn send(&mut self, no: u16, kind: Kind, elements: Elements, now: Time, out: &mut Vec<Outgoing>) {
+        let Some(entry) = self.entries.get_mut(&no) else { return };
+        let mut bytes = Vec::new();
+        entry.leg.send(kind, elements, now, &mut bytes);
+        let peer = entry.leg.peer;
+        out.extend(bytes.into_iter().map(|b| (peer, b)));
+    }
+
+    /// The call of a leg stands: the other side's silence matters from now on.
+    pub fn stands(&mut self, no: u16) {
+        if let Some(entry) = self.entries.get_mut(&no) {
+            entry.pings = true;
+        }
+    }
+
+    /// The call of a leg is over. Its last frames are still sent until acknowledged; its number rests.
+    pub fn end(&mut self, no: u16, now: Time) {
+        if let Some(entry) = self.entries.get_mut(&no) {
+            entry.of = None;
+            entry.pings = false;
+            entry.rests_until = Some(now.plus(REST));
+        }
+    }
+
+    /// Sends nothing again of what a leg has sent so far.
+    pub fn forget_sent(&mut self, no: u16) {
+        if let Some(entry) = self.entries.get_mut(&no) {
+            entry.leg.forget_sent();
+        }
+    }
+
+    /// Whether the other side has ever answered on a leg.
+    pub fn answered(&self, no: u16) -> bool {
+        self.entries.get(&no).is_some_and(|entry| entry.leg.remote != 0)
+    }
+
+    /// What a leg is for.
+    pub fn of(&self, no: u16) -> Option<&T> {
+        self.entries.get(&no)?.of.as_ref()
+    }
+
+    /// Legs whose call is not over.
+    pub fn live(&self) -> impl Iterator<Item = (u16, &T)> {
+        self.entries.iter().filter_map(|(no, entry)| Some((*no, entry.of.as_ref()?)))
+    }
+
+    /// Whether all that was sent has been acknowledged or given up.
+    pub fn all_acked(&self) -> bool {
+        self.entries.values().all(|entry| entry.leg.all_acked())
+    }
+
+    /// Takes a full frame.
+    pub fn receive(
+        &mut self,
+        peer: SocketAddr,
+        frame: &Frame,
+        now: Time,
+        out: &mut Vec<Outgoing>,
+    ) -> Option<Told<T>> {
+        let is_new = frame.kind == Kind::Iax(Iax::New);
+        let no =
+            if frame.dest == 0 { self.by_peer.get(&(peer, frame.source)).copied() } else { Some(frame.dest) };
+        let known = no
+            .and_then(|no| Some((no, self.entries.get(&no)?)))
+            .filter(|(_, e)| e.leg.peer == peer && (e.leg.remote == 0 || e.leg.remote == frame.source));
+        let Some((no, entry)) = known else {
+            if is_new && frame.dest == 0 {
+                return Some(Told::New(frame.clone()));
+            }
+            if frame.kind == Kind::Iax(Iax::Poke) {
+                let mut pong = frame.inval();
+                (pong.kind, pong.source) = (Kind::Iax(Iax::Pong), 1);
+                out.push((peer, pong.bytes()));
+            } else if frame.kind.counts() {
+                out.push((peer, frame.inval().bytes()));
+            }
+            return None;
+        };
+        // The other side uses its number again for a call of its own; a mere retransmission bears the old time.
+        if is_new && entry.rests_until.is_some() && entry.new_stamp != Some(frame.timestamp) {
+            self.remove(no);
+            return Some(Told::New(frame.clone()));
+        }
+        let entry = self.entries.get_mut(&no)?;
+        let mut bytes = Vec::new();
+        let got = entry.leg.receive(frame, now, &mut bytes);
+        out.extend(bytes.into_iter().map(|b| (peer, b)));
+        match got {
+            Got::Next if entry.of.is_some() => Some(Told::Frame(no, frame.clone())),
+            Got::Next | Got::Nothing => None,
+            Got::Unknown => {
+                entry.leg.forget_sent();
+                let of = entry.of.clone();
+                self.end(no, now);
+                of.map(Told::Lost)
+            }
+        }
+    }
+
+    /// Does what is due on a leg.
+    pub fn due(&mut self, no: u16, now: Time, out: &mut Vec<Outgoing>) -> Option<Told<T>> {
+        let entry = self.entries.get_mut(&no)?;
+        let mut bytes = Vec::new();
+        if entry.pings && entry.leg.all_acked() && now.since(entry.leg.heard) >= PING_AFTER {
+            entry.leg.send(Kind::Iax(Iax::Ping), Elements::default(), now, &mut bytes);
+        }
+        let speaks = entry.leg.due(now, &mut bytes);
+        let peer = entry.leg.peer;
+        out.extend(bytes.into_iter().map(|b| (peer, b)));
+        if !speaks {
+            entry.leg.forget_sent();
+            let of = entry.of.clone();
+            if of.is_some() {
+                self.end(no, now);
+            }
+            return of.map(Told::Lost);
+        }
+        if entry.rests_until.is_some_and(|until| now >= until && entry.leg.all_acked()) {
+            self.remove(no);
+        }
+        None
+    }
+
+    /// When `due` has something to do on a leg.
+    pub fn next_due(&self, no: u16) -> Option<Time> {
+        let entry = self.entries.get(&no)?;
+        let ping = entry.pings.then(|| entry.leg.heard.plus(PING_AFTER));
+        let ping = ping.filter(|_| entry.leg.all_acked());
+        [entry.leg.next_due(), ping, entry.rests_until].into_iter().flatten().min()
+    }
+
+    fn remove(&mut self, no: u16) {
+        if let Some(entry) = self.entries.remove(&no) {
+            let key = (entry.leg.peer, entry.leg.remote);
+            if self.by_peer.get(&key) == Some(&no) {
+                self.by_peer.remove(&key);
+            }
+        }
+    }
+}
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -12,15 +12,21 @@
 use tokio::task::{spawn_local, LocalSet};
 
 use crate::config::InstanceConfig;
+use crate::core::CAUSE_CLEARED;
 use crate::core::{Client, Core, Effect, FrontKind, HostLine, Input, Protocol, Source, WirePart};
 use crate::counters::Counters;
 use crate::directory::bulletin::{self, Page};
+use crate::directory::dns_sd;
+use crate::front::iax2::{Callers, Usual};
 use crate::front::jsonl::{self, Clients, Line, LineError};
-use crate::interface::Time;
+use crate::iax2::frame::LONGEST as LONGEST_FRAME;
+use crate::iax2::legs::Outgoing;
+use crate::interface::{ServerId, Time};
 use crate::net::conn::{serve, End, Reader, Unreadable};
 use crate::net::peers::{Peers, LONGEST};
 use crate::net::pool::{Pool, MESSAGE};
 use crate::net::queue::WriteQueue;
+use crate::upstream::iax2::Servers;
 use crate::upstream::sip::message::{parse, SipError};
 use crate::upstream::sip::{LinkEnd, Trunks};
 use crate::upstream::Todo;
@@ -77,6 +83,10 @@
     clients: Clients,
     next_client: u64,
     sip: Trunks,
+    callers: Callers,
+    servers: Servers,
+    callers_socket: Option<Rc<UdpSocket>>,
+    servers_socket: Option<Rc<UdpSocket>>,
     peer_socket: Option<Rc<UdpSocket>>,
     peers: Peers,
     tally: Tally,
@@ -89,6 +99,7 @@
     sip: u64,
     bulletin: u64,
     bulletin_failures: u64,
+    dns_failures: u64,
     mail: u64,
     lost: u64,
 }
@@ -129,11 +140,28 @@
             Some(at) => Some(Rc::new(UdpSocket::bind(at).await.map_err(fail("peer_listen", at))?)),
             None => None,
         };
+        let (callers_socket, servers_socket) = match &config.iax2 {
+            Some(iax2) => {
+                let (listen, from) = (iax2.listen, iax2.from);
+                let callers = UdpSocket::bind(listen).await.map_err(fail("iax2.listen", listen))?;
+                let servers = UdpSocket::bind(from).await.map_err(fail("iax2.from", from))?;
+                (Some(Rc::new(callers)), Some(Rc::new(servers)))
+            }
+            None => (None, None),
+        };
         let state = State {
             core: Core::new(config.core.clone()),
             clients: Clients::default(),
             next_client: 0,
             sip: Trunks::default(),
+            callers: Callers::new(Usual {
+                class: config.core.classes.first().cloned().unwrap_or_else(|| "".into()),
+                left: config.usual_left,
+                seed: config.core.seed,
+            }),
+            servers: Servers::default(),
+            callers_socket,
+            servers_socket,
             peer_socket,
             peers: config.peers.clone(),
             tally: Tally::default(),
@@ -163,6 +191,12 @@
         self.listener.as_ref().and_then(|l| l.local_addr().ok())
     }
 
+    /// Where IAX2 callers send to.
+    pub fn iax2_at(&self) -> Option<SocketAddr> {
+        let state = self.instance.0.state.borrow();
+        state.callers_socket.as_ref().and_then(|socket| socket.local_addr().ok())
+    }
+
     /// Serves until `stop`, then finishes what was taken.
     pub async fn run(self, stop: impl std::future::Future<Output = ()>) -> Counters {
         let local = LocalSet::new();
@@ -200,12 +234,35 @@
                 bulletin::follow(address, after, zones, |page| taker.page(page), failed).await;
             });
         }
+        if let Some(dns) = config.dns_sd.clone() {
+            let (taker, failer) = (self.clone(), self.clone());
+            let zones = config.zones.clone();
+            spawn_local(async move {
+                let failed = |_| failer.0.state.borrow_mut().tally.dns_failures += 1;
+                let take = |hosts| taker.input(Input::List { source: Source::DnsSd, whole: true, hosts });
+                dns_sd::follow(dns.resolver, dns.service, zones, take, failed).await;
+            });
+        }
+        let (callers, servers) = {
+            let state = self.0.state.borrow();
+            (state.callers_socket.clone(), state.servers_socket.clone())
+        };
+        if let Some(socket) = callers {
+            spawn_local(self.clone().hear_iax2(socket, |state, from, bytes, now, todo| {
+                state.callers.datagram(from, bytes, now, todo);
+            }));
+        }
+        if let Some(socket) = servers {
+            spawn_local(self.clone().hear_iax2(socket, |state, from, bytes, now, todo| {
+                state.servers.datagram(from, bytes, now, todo);
+            }));
+        }
         let peer_socket = self.0.state.borrow().peer_socket.clone();
         if let Some(socket) = peer_socket {
             spawn_local(self.clone().hear_peers(socket));
         }
         stop.await;
-        self.0.stopping.set(true);
+        self.begin_stop();
         let stopped = Instant::now();
         tokio::time::sleep(STILL_ACCEPTS).await;
         if let Some(acceptor) = acceptor {
@@ -220,7 +277,25 @@
     /// Whether no call is owed an answer and all answers are written.
     fn settled(&self) -> bool {
         let state = self.0.state.borrow();
-        state.core.open_calls() == 0 && state.clients.all_written()
+        state.core.open_calls() == 0
+            && state.clients.all_written()
+            && state.callers.all_acked()
+            && state.servers.all_acked()
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.0.name
+    }
+
+    /// Whether a list of call servers is held.
+    pub fn ready(&self) -> bool {
+        self.0.state.borrow().core.ready()
+    }
+
+    /// From now on tests fail: the controller is about to stop.
+    pub fn begin_stop(&self) {
+        self.0.stopping.set(true);
     }
 
     /// Whether the controller was asked to stop.
@@ -257,6 +332,13 @@
             malformed_sip: sip.malformed + tally.sip,
             malformed_bulletin: tally.bulletin,
             bulletin_failures: tally.bulletin_failures,
+            dns_failures: tally.dns_failures,
+            iax2_callers: state.callers.live(),
+            iax2_calls_in: state.callers.counts.news,
+            iax2_calls_out: state.servers.counts.news,
+            iax2_withdrawn: state.servers.counts.withdrawn,
+            iax2_received: state.callers.counts.received + state.servers.counts.received,
+            iax2_malformed: state.callers.counts.malformed + state.servers.counts.malformed,
             mail: tally.mail,
             lost_connections: tally.lost,
         }
@@ -407,6 +489,23 @@
         self.turn(|state, todo| state.sip.link_ended(no, end, now, todo));
     }
 
+    async fn hear_iax2(
+        self,
+        socket: Rc<UdpSocket>,
+        take: impl Fn(&mut State, SocketAddr, &[u8], Time, &mut Todo),
+    ) {
+        let mut bytes = vec![0; LONGEST_FRAME + 1];
+        loop {
+            match socket.recv_from(&mut bytes).await {
+                Ok((n, from)) => {
+                    let now = self.0.clock.now();
+                    self.turn(|state, todo| take(state, from, &bytes[..n], now, todo));
+                }
+                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+            }
+        }
+    }
+
     async fn hear_peers(self, socket: Rc<UdpSocket>) {
         let mut bytes = [0; LONGEST + 1];
         loop {
@@ -458,7 +557,8 @@
             match part {
                 WirePart::SipReach => self.sip.due(key, todo),
                 WirePart::SipWatch => self.sip.watch(key, now, todo),
-                WirePart::IaxFront | WirePart::IaxServers => {}
+                WirePart::IaxFront => self.callers.due(key, now, todo),
+                WirePart::IaxServers => self.servers.due(key, now, todo),
             }
         }
         self.carry_out(effects, now, todo);
@@ -477,6 +577,8 @@
                 self.carry_out(effects, now, todo);
             }
         }
+        send_all(self.callers_socket.as_deref(), &mut todo.to_callers);
+        send_all(self.servers_socket.as_deref(), &mut todo.to_servers);
         for (at, part, key) in todo.dues.drain(..) {
             self.core.deadlines.set(at, crate::core::Due::Wire(part, key));
         }
@@ -485,32 +587,58 @@
     fn carry_out(&mut self, effects: Vec<Effect>, now: Time, todo: &mut Todo) {
         for effect in effects {
             match effect {
-                Effect::Answer(client, sid, body) => {
-                    self.clients.write(client.no, jsonl::ready(sid, &body));
-                    self.clients.settled(client.no);
-                }
-                Effect::Refuse { client, sid, again, wait } => {
-                    let cause = if again { jsonl::CAUSE_REFUSED } else { jsonl::CAUSE_FAILED };
-                    self.clients.write(client.no, jsonl::close(sid, cause, wait));
-                    self.clients.settled(client.no);
-                }
-                Effect::Release(client, sid, cause) => {
-                    self.clients.write(client.no, jsonl::close(sid, cause, Default::default()));
+                Effect::Answer(client, sid, body) => match client.front {
+                    FrontKind::JsonLines => {
+                        self.clients.write(client.no, jsonl::ready(sid, &body));
+                        self.clients.settled(client.no);
+                    }
+                    FrontKind::Iax2 => self.callers.ready(client.no, &body, now, todo),
+                },
+                Effect::Refuse { client, sid, again, wait } => match client.front {
+                    FrontKind::JsonLines => {
+                        let cause = if again { jsonl::CAUSE_REFUSED } else { jsonl::CAUSE_FAILED };
+                        self.clients.write(client.no, jsonl::close(sid, cause, wait));
+                        self.clients.settled(client.no);
+                    }
+                    FrontKind::Iax2 => self.callers.refuse(client.no, again, wait, now, todo),
+                },
+                Effect::Release(client, sid, cause) => match client.front {
+                    FrontKind::JsonLines => {
+                        self.clients.write(client.no, jsonl::close(sid, cause, Default::default()));
+                    }
+                    FrontKind::Iax2 => self.callers.release(client.no, cause, now, todo),
+                },
+                Effect::Heard(Client { front: FrontKind::JsonLines, no }, sid) => {
+                    self.clients.write(no, jsonl::closed(sid));
                 }
-                Effect::Heard(client, sid) => {
-                    self.clients.write(client.no, jsonl::closed(sid));
+                Effect::Settled(Client { front: FrontKind::JsonLines, no }) => self.clients.settled(no),
+                Effect::Heard(..) | Effect::Settled(_) => {}
+                Effect::Invite { server, sid, class, number, left, body } => match self.protocol(server) {
+                    Protocol::Sip => {
+                        self.sip.invite(server, sid, &class, &number, left, &body, now, todo);
+                    }
+                    Protocol::Iax2 => {
+                        self.servers.invite(server, sid, &class, &number, left, &body, now, todo);
+                    }
+                },
+                Effect::Cancel(server, sid) => {
+                    self.sip.cancel(server, sid);
+                    self.servers.hang_up(server, sid, CAUSE_CLEARED, now, todo);
                 }
-                Effect::Settled(client) => self.clients.settled(client.no),
-                Effect::Invite { server, sid, class, number, left, body } => {
-                    self.sip.invite(server, sid, &class, &number, left, &body, now, todo);
+                Effect::Bye(server, sid, cause) => {
+                    self.sip.bye(server, sid, cause, todo);
+                    self.servers.hang_up(server, sid, cause, now, todo);
                 }
-                Effect::Cancel(server, sid) => self.sip.cancel(server, sid),
-                Effect::Bye(server, sid, cause) => self.sip.bye(server, sid, cause, todo),
                 Effect::Reach { server, dial, protocol: Protocol::Sip, fresh } => {
                     self.sip.reach(server, dial, fresh, todo);
                 }
-                Effect::Reach { protocol: Protocol::Iax2, .. } => {}
-                Effect::Withdraw(server) => self.sip.withdraw(server, todo),
+                Effect::Reach { server, dial, protocol: Protocol::Iax2, fresh } => {
+                    self.servers.reach(server, dial, fresh, now, todo);
+                }
+                Effect::Withdraw(server) => {
+                    self.sip.withdraw(server, todo);
+                    self.servers.withdraw(server, now, todo);
+                }
                 Effect::Leave(server) => self.sip.leave(server),
                 Effect::Tell(to, data) => {
                     if let Some(socket) = &self.peer_socket {
@@ -521,6 +649,19 @@
             }
         }
     }
+
+    fn protocol(&self, server: ServerId) -> Protocol {
+        self.core.protocol_of(server).unwrap_or(Protocol::Sip)
+    }
+}
+
+/// Sends datagrams without waiting; what cannot be sent now is sent again by its leg.
+fn send_all(socket: Option<&UdpSocket>, datagrams: &mut Vec<Outgoing>) {
+    for (to, bytes) in datagrams.drain(..) {
+        if let Some(socket) = socket {
+            let _ = socket.try_send_to(&bytes, to);
+        }
+    }
 }
 
 struct ClientReader {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,11 +65,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod cli;
 pub mod config;
+pub mod control;
 pub mod core;
 pub mod counters;
 pub mod directory;
 pub mod front;
+pub mod iax2;
 pub mod instance;
 pub mod interface;
 pub mod net;
--- /dev/null
+++ b/src/upstream/iax2/mod.rs
@@ -0,0 +1,235 @@
+//! IAX2 call servers. No socket here: datagrams are handed back to be sent.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::core::{AttemptError, Broken, Input, Progress, Refusal, Report, ServerSays, Sid, WirePart};
+use crate::iax2::describe::{describe, description_in};
+use crate::iax2::frame::{ie, parse, Control, Datagram, Elements, Frame, Iax, Kind};
+use crate::iax2::legs::{Legs, Told};
+use crate::interface::{Cause, ServerId, Span, Time};
+use crate::upstream::sip::message::report_of;
+use crate::upstream::Todo;
+
+/// Q.850: the call has ended in the usual way.
+const CAUSE_CLEARED: u16 = 16;
+/// Q.850: a call that was cut.
+const CAUSE_CUT: u16 = 41;
+/// The protocol's version.
+const VERSION: [u8; 2] = [0, 2];
+
+type Key = (ServerId, Sid);
+
+/// A call's leg towards a call server.
+#[derive(Debug, Clone, Default)]
+struct Call {
+    stands: bool,
+    body: Option<Rc<str>>,
+}
+
+/// Plain counts of what this side did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServerCounts {
+    /// NEWs sent; a retransmission is none.
+    pub news: u64,
+    /// Set-ups that were withdrawn before the call server had answered anything.
+    pub withdrawn: u64,
+    /// Datagrams that came.
+    pub received: u64,
+    /// Datagrams that could not be read.
+    pub malformed: u64,
+}
+
+/// All IAX2 call servers.
+#[derive(Debug, Default)]
+pub struct Servers {
+    legs: Legs<Key>,
+    calls: BTreeMap<Key, (u16, Call)>,
+    dials: BTreeMap<ServerId, SocketAddr>,
+    /// What was done so far.
+    pub counts: ServerCounts,
+}
+
+impl Servers {
+    /// Where a call server is. One that started anew knows none of the old calls.
+    pub fn reach(&mut self, server: ServerId, dial: SocketAddr, fresh: bool, now: Time, todo: &mut Todo) {
+        self.dials.insert(server, dial);
+        if !fresh {
+            return;
+        }
+        let old: Vec<(Key, u16)> =
+            self.calls.iter().filter(|(k, _)| k.0 == server).map(|(k, (no, _))| (*k, *no)).collect();
+        for (key, no) in old {
+            self.legs.forget_sent(no);
+            self.broken(key, Broken::Ended, now, todo);
+        }
+    }
+
+    /// Sends a set-up.
+    #[allow(clippy::too_many_arguments)] // one set-up, as the wire wants it
+    pub fn invite(
+        &mut self,
+        server: ServerId,
+        sid: Sid,
+        class: &str,
+        number: &str,
+        left: Span,
+        body: &str,
+        now: Time,
+        todo: &mut Todo,
+    ) {
+        let dial = self.dials.get(&server).copied();
+        let Some(no) = dial.and_then(|dial| self.legs.call(dial, (server, sid), now)) else {
+            let error = AttemptError { why: Broken::Connect, progress: Progress::NotConnected };
+            return todo.inputs.push(Input::Server(server, sid, ServerSays::Lost(error)));
+        };
+        let elements = Elements::default()
+            .with(ie::VERSION, &VERSION)
+            .with(ie::CALLED_NUMBER, number.as_bytes())
+            .with(ie::CALLED_CONTEXT, class.as_bytes())
+            .with_variable("callid", sid.as_str())
+            .with_variable("left", &(left.0 / 1000).to_string());
+        let elements = describe(elements, body);
+        self.counts.news += 1;
+        self.legs.send(no, Kind::Iax(Iax::New), elements, now, &mut todo.to_servers);
+        self.calls.insert((server, sid), (no, Call::default()));
+        self.arm(no, todo);
+    }
+
+    /// Gives a set-up up, or ends a call that stands.
+    pub fn hang_up(&mut self, server: ServerId, sid: Sid, cause: u16, now: Time, todo: &mut Todo) {
+        let Some((no, _)) = self.calls.remove(&(server, sid)) else { return };
+        // A NEW that was never heard must not be heard after the HANGUP.
+        if !self.legs.answered(no) {
+            self.legs.forget_sent(no);
+        }
+        self.say_hang_up(no, cause, now, todo);
+    }
+
+    fn say_hang_up(&mut self, no: u16, cause: u16, now: Time, todo: &mut Todo) {
+        let code = u8::try_from(cause).unwrap_or(u8::MAX);
+        let elements = Elements::default().with(ie::CAUSE_CODE, &[code]);
+        self.legs.send(no, Kind::Iax(Iax::Hangup), elements, now, &mut todo.to_servers);
+        self.legs.end(no, now);
+        self.arm(no, todo);
+    }
+
+    /// Takes back every set-up that the call server has not answered yet: the next copy of its NEW might be the
+    /// first to arrive. Guards against new work at a call server that drains.
+    pub fn withdraw(&mut self, server: ServerId, now: Time, todo: &mut Todo) {
+        let unheard = self.calls.iter().filter(|(key, (no, _))| key.0 == server && !self.legs.answered(*no));
+        let unheard: Vec<Sid> = unheard.map(|(key, _)| key.1).collect();
+        for sid in unheard {
+            self.counts.withdrawn += 1;
+            self.hang_up(server, sid, CAUSE_CLEARED, now, todo);
+            let error = AttemptError { why: Broken::Withdrawn, progress: Progress::Written };
+            todo.inputs.push(Input::Server(server, sid, ServerSays::Lost(error)));
+        }
+    }
+
+    /// A datagram came.
+    pub fn datagram(&mut self, from: SocketAddr, bytes: &[u8], now: Time, todo: &mut Todo) {
+        self.counts.received += 1;
+        let frame = match parse(bytes) {
+            Ok(Datagram::Full(frame)) => frame,
+            Ok(Datagram::Media) => return,
+            Err(_) => {
+                self.counts.malformed += 1;
+                return;
+            }
+        };
+        let told = self.legs.receive(from, &frame, now, &mut todo.to_servers);
+        match told {
+            Some(Told::Frame(no, frame)) => self.frame(no, &frame, now, todo),
+            Some(Told::Lost(key)) => self.broken(key, Broken::Ended, now, todo),
+            // Call servers do not call.
+            Some(Told::New(new)) => todo.to_servers.push((from, new.inval().bytes())),
+            None => {}
+        }
+        self.arm(frame.dest, todo);
+    }
+
+    fn frame(&mut self, no: u16, frame: &Frame, now: Time, todo: &mut Todo) {
+        let Some(&key) = self.legs.of(no) else { return };
+        let Some((_, call)) = self.calls.get_mut(&key) else { return };
+        let (server, sid) = key;
+        let elements = &frame.elements;
+        let report = elements.variable("report").map(|text| report_of(&text)).unwrap_or_default();
+        let cause = elements.number(ie::CAUSE_CODE).and_then(|code| u16::try_from(code).ok());
+        let over = match frame.kind {
+            Kind::Iax(Iax::Accept) => {
+                call.body = Some(description_in(elements).into());
+                return;
+            }
+            Kind::Control(Control::Answer) if !call.stands => {
+                call.stands = true;
+                let body = call.body.clone().unwrap_or_else(|| description_in(elements).into());
+                self.legs.stands(no);
+                todo.inputs.push(Input::Server(server, sid, ServerSays::Answered(body)));
+                return;
+            }
+            Kind::Iax(Iax::Reject | Iax::Hangup) | Kind::Control(Control::Hangup) => cause,
+            Kind::Control(Control::Busy) => Some(17),
+            Kind::Control(Control::Congestion) => Some(42),
+            _ => return,
+        };
+        let stood = call.stands;
+        self.calls.remove(&key);
+        if matches!(frame.kind, Kind::Control(_)) {
+            self.say_hang_up(no, CAUSE_CLEARED, now, todo);
+        }
+        self.legs.end(no, now);
+        let says = if stood {
+            ServerSays::Released(over.unwrap_or(CAUSE_CLEARED), report)
+        } else {
+            let wait = elements.variable("wait").and_then(|ms| ms.parse().ok()).map(Span::from_millis);
+            let (refusal, why) = refusal_of(over.unwrap_or(0), wait);
+            ServerSays::Refused(refusal, why, report)
+        };
+        todo.inputs.push(Input::Server(server, sid, says));
+    }
+
+    /// A call's way broke: the other side is silent, or does not know the call.
+    fn broken(&mut self, key: Key, why: Broken, now: Time, todo: &mut Todo) {
+        let Some((no, call)) = self.calls.remove(&key) else { return };
+        self.legs.end(no, now);
+        let says = if call.stands {
+            // Guards against a call left standing at its caller when its server has gone silent.
+            ServerSays::Released(CAUSE_CUT, Report::new())
+        } else {
+            ServerSays::Lost(AttemptError { why, progress: Progress::Written })
+        };
+        todo.inputs.push(Input::Server(key.0, key.1, says));
+    }
+
+    /// Does what is due on a leg.
+    pub fn due(&mut self, key: u64, now: Time, todo: &mut Todo) {
+        let no = u16::try_from(key).unwrap_or(0);
+        if let Some(Told::Lost(call)) = self.legs.due(no, now, &mut todo.to_servers) {
+            self.broken(call, Broken::Silent, now, todo);
+        }
+        self.arm(no, todo);
+    }
+
+    /// Whether nothing waits to be acknowledged.
+    pub fn all_acked(&self) -> bool {
+        self.legs.all_acked()
+    }
+
+    fn arm(&self, no: u16, todo: &mut Todo) {
+        if let Some(at) = self.legs.next_due(no) {
+            todo.dues.push((at, WirePart::IaxServers, u64::from(no)));
+        }
+    }
+}
+
+/// What a cause ahead of the answer means.
+fn refusal_of(cause: u16, wait: Option<Span>) -> (Refusal, Cause) {
+    match cause {
+        34 => (Refusal::Full, Cause::NoCircuit),
+        38 | 42 | 47 => (Refusal::Full, wait.map_or(Cause::ProcessorFull, Cause::ProcessorFullFor)),
+        17 => (Refusal::Error, Cause::NumberBusy),
+        _ => (Refusal::Error, Cause::None),
+    }
+}
