--- a/src/upstream/sip/message.rs
+++ b/src/upstream/sip/message.rs
@@ -16,8 +16,12 @@
 pub struct Message {
     /// Its first line.
     pub start: Start,
+    /// Of a request: the number that its first line calls.
+    pub number: String,
     /// `Call-ID`.
     pub call_id: String,
+    /// `P-Kind`.
+    pub kind: String,
     /// Number and method of `CSeq`.
     pub cseq: (u32, String),
     /// `Via`, for answers.
@@ -87,14 +91,18 @@
         return Ok(None);
     }
     let malformed = |what| SipError::Message { length: whole, what };
-    let start = std::str::from_utf8(&bytes[..first]).ok().and_then(start_of);
-    let start = start.ok_or(malformed("first line"))?;
+    let line = std::str::from_utf8(&bytes[..first]).map_err(|_| malformed("first line"))?;
+    let start = start_of(line).ok_or(malformed("first line"))?;
+    let number =
+        line.split_once(" sip:").and_then(|(_, rest)| rest.split_once('@')).map(|(number, _)| number);
     let cseq = header("CSeq", "").and_then(|cseq| cseq.split_once(' '));
     let cseq = cseq.and_then(|(no, method)| Some((no.parse().ok()?, method.trim().to_owned())));
     let text = |name, short| header(name, short).unwrap_or_default().to_owned();
     let message = Message {
         start,
+        number: number.unwrap_or_default().to_owned(),
         call_id: text("Call-ID", "i"),
+        kind: text("P-Kind", ""),
         cseq: cseq.unwrap_or_default(),
         via: text("Via", "v"),
         note: text("P-Reason", ""),
--- /dev/null
+++ b/tests/support/iax2.rs
@@ -0,0 +1,1 @@
+//! IAX2 stand-ins.
