--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -1,1 +1,250 @@
 //! The core, driven by given times.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use rstest::rstest;
+
+use super::deadlines::Deadlines;
+use super::*;
+use crate::interface::{Cause, Cell, ClassSettings, LoadField, ServerState, Span};
+
+const CLIENT: Client = Client { front: FrontKind::JsonLines, no: 1 };
+
+struct Drive {
+    core: Core,
+    now: Time,
+}
+
+fn line(host: &str, cell: u16, state: ServerState, born_ms: u64) -> HostLine {
+    let dial = SocketAddr::from(([127, 0, 0, 1], 1000 + cell));
+    HostLine { host: host.into(), dial, protocol: Protocol::Sip, cell: Cell(cell), zone: 0, born_ms, state }
+}
+
+impl Drive {
+    fn new(servers: u16) -> Drive {
+        let aim = Span::from_millis(2_000);
+        let class =
+            ClassSettings { aim, worth: 1.0, cells: Some((0..9).map(Cell).collect()), ..Default::default() };
+        let settings = Settings {
+            gateways: 1,
+            classes: vec![class],
+            load_fields: vec![LoadField::Idle, LoadField::Circuits],
+            max_attempts: 5,
+            may_cancel: true,
+            may_say_retry_after: true,
+            max_retry_after: Span::from_millis(2_000),
+            release: Span::from_millis(500),
+            tick: Span::from_millis(5),
+            ..Settings::default()
+        };
+        let config = CoreConfig { settings, classes: vec!["judge-call".into()], most_held: 3, seed: 1 };
+        let mut drive = Drive { core: Core::new(config), now: Time(1_000_000_000) };
+        drive.input(Input::ClientUp(CLIENT));
+        let hosts = (0..servers).map(|n| line(&format!("s{n}"), n, ServerState::Ready, 0)).collect();
+        drive.input(Input::List { source: Source::Bulletin, whole: true, hosts });
+        drive
+    }
+    fn input(&mut self, input: Input) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.core.handle(self.now, input, &mut out);
+        out
+    }
+    /// Lets time pass, sweeping at each deadline.
+    fn pass(&mut self, ms: u64) -> Vec<(Time, Effect)> {
+        let end = self.now.plus(Span::from_millis(ms));
+        let mut seen = Vec::new();
+        while let Some(at) = self.core.deadlines.next_at().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            let mut out = Vec::new();
+            self.core.sweep(self.now, &mut out);
+            seen.extend(out.into_iter().map(|effect| (self.now, effect)));
+        }
+        self.now = end;
+        seen
+    }
+    fn open(&mut self, n: u64, left_ms: u64) -> Vec<Effect> {
+        let (class, number, body): (Rc<str>, Rc<str>, Rc<str>) =
+            ("judge-call".into(), "7f".into(), "x".into());
+        let left = Span::from_millis(left_ms);
+        let sid = Sid::numbered(n);
+        let dest = Some(Cell(0));
+        self.input(Input::Open(CLIENT, SetUp { sid, class, left, number, dest, redialled: false, body }))
+    }
+    fn says(&mut self, server: ServerId, n: u64, says: ServerSays) -> Vec<Effect> {
+        self.input(Input::Server(server, Sid::numbered(n), says))
+    }
+}
+
+fn invited<'a>(effects: impl IntoIterator<Item = &'a Effect>) -> Option<ServerId> {
+    effects.into_iter().find_map(|e| match e {
+        Effect::Invite { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
+fn finals<'a>(effects: impl IntoIterator<Item = &'a Effect>) -> usize {
+    effects.into_iter().filter(|e| matches!(e, Effect::Answer(..) | Effect::Refuse { .. })).count()
+}
+
+fn full() -> ServerSays {
+    ServerSays::Refused(Refusal::Full, Cause::NoCircuit, Report::new())
+}
+
+#[test]
+fn deadlines_come_in_order_of_time_then_of_setting_and_can_be_moved() {
+    let mut deadlines = Deadlines::default();
+    for (at, key) in [(30, 'c'), (10, 'a'), (20, 'x'), (10, 'b')] {
+        deadlines.set(Time(at), key);
+    }
+    deadlines.set(Time(40), 'x');
+    deadlines.clear(&'c');
+    assert_eq!((deadlines.len(), deadlines.next_at()), (3, Some(Time(10))));
+    assert_eq!(std::iter::from_fn(|| deadlines.pop(Time(39))).collect::<String>(), "ab");
+    assert_eq!((deadlines.pop(Time(40)), deadlines.is_empty()), (Some('x'), true));
+}
+
+#[test]
+fn a_full_server_is_followed_by_another_and_the_last_by_one_refusal_at_once() {
+    let mut drive = Drive::new(3);
+    let mut server = invited(&drive.open(1, 9_000));
+    let mut attempts = 0;
+    let mut ends = 0;
+    while let Some(at) = server {
+        attempts += 1;
+        let effects = drive.says(at, 1, full());
+        ends += finals(&effects);
+        server = invited(&effects);
+    }
+    assert!((1..=3).contains(&attempts));
+    assert_eq!((ends, drive.core.open_calls()), (1, 0));
+    // Nothing more is said, whatever still comes of it.
+    let server = ServerId { address: 1, port: 0 };
+    assert_eq!(finals(&drive.says(server, 1, ServerSays::Answered("late".into()))), 0);
+    assert!(drive.pass(30_000).iter().all(|(_, e)| finals([e]) == 0));
+}
+
+#[rstest]
+#[case::never_connected(Progress::NotConnected, 0)]
+#[case::withdrawn(Progress::Queued, 0)]
+#[case::may_have_run(Progress::Written, 500)]
+fn how_far_an_attempt_had_come_tells_when_the_next_may_go(#[case] progress: Progress, #[case] wait_ms: u64) {
+    let mut drive = Drive::new(2);
+    let first = invited(&drive.open(1, 9_000)).expect("sent");
+    let began = drive.now;
+    let error = AttemptError { why: Broken::Ended, progress };
+    let effects = drive.says(first, 1, ServerSays::Lost(error));
+    let (at, second) = match invited(&effects) {
+        Some(server) => (drive.now, server),
+        None => {
+            let later = drive.pass(8_000);
+            let found = later.iter().find_map(|(at, e)| Some((*at, invited([e])?)));
+            found.expect("sent again")
+        }
+    };
+    assert_ne!(first, second);
+    let waited = at.since(began);
+    assert!(waited >= Span::from_millis(wait_ms) && waited < Span::from_millis(wait_ms + 50), "{waited:?}");
+}
+
+#[test]
+fn one_attempt_is_out_at_a_time_and_a_call_left_alone_ends_before_its_caller_gives_up() {
+    let mut drive = Drive::new(3);
+    let began = drive.now;
+    let mut out = invited(&drive.open(1, 9_000)).into_iter().count();
+    let (mut most, mut sends, mut ends, mut last_cancel) = (out, out, Vec::new(), None::<Time>);
+    for (at, effect) in drive.pass(10_000) {
+        match effect {
+            Effect::Invite { .. } => {
+                assert!(last_cancel.is_none_or(|c| at.since(c) >= Span::from_millis(500)));
+                (out, sends) = (out + 1, sends + 1);
+            }
+            Effect::Cancel(..) => (out, last_cancel) = (out - 1, Some(at)),
+            Effect::Refuse { .. } => ends.push(at),
+            _ => {}
+        }
+        most = most.max(out);
+    }
+    assert_eq!((most, out, ends.len()), (1, 0, 1));
+    assert!((2..=5).contains(&sends), "{sends} attempts");
+    assert!(ends[0].since(began) < Span::from_millis(9_000));
+}
+
+#[test]
+fn an_answer_that_crosses_the_cancel_is_ended_there_and_not_passed_on() {
+    let mut drive = Drive::new(1);
+    let server = invited(&drive.open(1, 9_000)).expect("sent");
+    let effects = drive.input(Input::Close(CLIENT, Sid::numbered(1), 16));
+    assert!(effects.iter().any(|e| matches!(e, Effect::Cancel(s, _) if *s == server)));
+    assert_eq!(finals(&effects), 0); // who gives up is owed no answer
+    let effects = drive.says(server, 1, ServerSays::Answered("y".into()));
+    assert!(matches!(effects[..], [Effect::Bye(s, _, 16)] if s == server));
+    assert_eq!(drive.core.counts().late_answers, 1);
+}
+
+#[test]
+fn a_call_whose_caller_lost_its_connection_is_withdrawn_and_one_that_stands_stays() {
+    let mut drive = Drive::new(1);
+    let server = invited(&drive.open(1, 9_000)).expect("sent");
+    drive.says(server, 1, ServerSays::Answered("y".into()));
+    drive.open(2, 9_000);
+    let effects = drive.input(Input::ClientDown(CLIENT));
+    assert!(matches!(effects[..], [Effect::Cancel(..), Effect::Settled(_)]), "{effects:?}");
+    assert_eq!((drive.core.open_calls(), drive.core.standing_calls()), (0, 1));
+    // Its release waits for a connection, for 8 s.
+    assert!(drive.says(server, 1, ServerSays::Released(16, Report::new())).is_empty());
+    drive.pass(7_900);
+    let next = Client { no: 2, ..CLIENT };
+    let effects = drive.input(Input::ClientUp(next));
+    assert!(matches!(effects[..], [Effect::Release(c, _, 16)] if c == next));
+}
+
+#[test]
+fn what_drains_or_is_gone_gets_nothing_and_has_its_waiting_set_ups_withdrawn() {
+    for state in [ServerState::Draining, ServerState::Gone] {
+        let mut drive = Drive::new(1);
+        let server = invited(&drive.open(1, 9_000)).expect("sent");
+        let hosts = vec![line("s0", 0, state, 0)];
+        let effects = drive.input(Input::List { source: Source::Bulletin, whole: false, hosts });
+        assert!(effects.iter().any(|e| matches!(e, Effect::Withdraw(s) if *s == server)));
+        let effects = drive.open(2, 9_000);
+        assert_eq!((invited(&effects), finals(&effects)), (None, 1));
+    }
+}
+
+/// A vanished machine that comes back, or is listed as gone for a while, may hold its calls all the same: guards
+/// against calls released while they stood.
+#[test]
+fn a_return_or_a_listing_as_gone_releases_no_call() {
+    let mut drive = Drive::new(1);
+    let server = invited(&drive.open(1, 9_000)).expect("sent");
+    drive.says(server, 1, ServerSays::Answered("y".into()));
+    for (state, born) in [(ServerState::Gone, 0), (ServerState::Ready, 1_000_500)] {
+        let hosts = vec![line("s0", 0, state, born)];
+        let effects = drive.input(Input::List { source: Source::Bulletin, whole: false, hosts });
+        assert!(!effects.iter().any(|e| matches!(e, Effect::Release(..))), "{effects:?}");
+    }
+    let effects = drive.input(Input::Died(server));
+    assert!(matches!(effects[..], [Effect::Release(CLIENT, _, CAUSE_CUT)]));
+}
+
+#[test]
+fn a_directory_speaks_for_its_own_servers_only() {
+    let mut drive = Drive::new(1);
+    let hosts = vec![line("club", 1, ServerState::Ready, 0)];
+    drive.input(Input::List { source: Source::DnsSd, whole: true, hosts });
+    drive.input(Input::List { source: Source::DnsSd, whole: true, hosts: Vec::new() });
+    let states: Vec<_> = drive.core.listed().map(|l| (l.host.as_str(), l.state)).collect();
+    assert_eq!(states, [("s0", ServerState::Ready), ("club", ServerState::Gone)]);
+}
+
+#[test]
+fn no_more_calls_are_held_than_the_settings_allow_nor_of_a_class_not_known() {
+    let mut drive = Drive::new(1);
+    for n in 1..=3 {
+        assert_eq!(finals(&drive.open(n, 9_000)), 0);
+    }
+    let effects = drive.open(4, 9_000);
+    assert!(matches!(effects[..], [Effect::Refuse { again: true, wait, .. }] if wait > Span::default()));
+    assert_eq!(drive.core.open_calls(), 3);
+}
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -1,6 +1,8 @@
 //! SIP call servers: few long-lived connections each. No socket here: connections are numbers with a queue.
 
 pub mod message;
+#[cfg(test)]
+mod tests;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
--- /dev/null
+++ b/src/upstream/sip/tests.rs
@@ -0,0 +1,151 @@
+//! Connections to call servers, driven by given times.
+
+use super::*;
+use crate::interface::Time;
+
+const SERVER: ServerId = ServerId { address: 1, port: 0 };
+
+struct Drive {
+    trunks: Trunks,
+    now: Time,
+}
+
+fn at(ms: u64) -> Time {
+    Time(1_000_000_000 + ms * 1000)
+}
+
+fn sid(n: u64) -> Sid {
+    Sid::numbered(n)
+}
+
+impl Drive {
+    fn new() -> (Drive, u64) {
+        let mut drive = Drive { trunks: Trunks::default(), now: at(0) };
+        let mut todo = Todo::default();
+        drive.trunks.reach(SERVER, ([127, 0, 0, 1], 1).into(), false, &mut todo);
+        (drive, todo.links[0].0)
+    }
+    fn invite(&mut self, n: u64) -> Todo {
+        let mut todo = Todo::default();
+        let (number, left) = ("7f".into(), Span::from_millis(2_000));
+        self.trunks.invite(SERVER, sid(n), "judge-call", &number, left, "x", self.now, &mut todo);
+        todo
+    }
+    fn hears(&mut self, link: u64, text: &str) -> Todo {
+        let (message, _) = message::parse(text.as_bytes()).expect("readable").expect("whole");
+        let mut todo = Todo::default();
+        self.trunks.message(link, &message, self.now, &mut todo);
+        todo
+    }
+    fn stands(&mut self, link: u64, n: u64) {
+        self.invite(n);
+        let text =
+            format!("SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 1 INVITE\r\nContent-Length: 1\r\n\r\ny", sid(n));
+        let todo = self.hears(link, &text);
+        assert!(matches!(todo.inputs[..], [Input::Server(SERVER, _, ServerSays::Answered(_))]));
+    }
+    fn ends(&mut self, link: u64, how: LinkEnd) -> Todo {
+        let mut todo = Todo::default();
+        self.trunks.link_ended(link, how, self.now, &mut todo);
+        todo
+    }
+    fn watch(&mut self) -> Todo {
+        let mut todo = Todo::default();
+        self.trunks.watch(1, self.now, &mut todo);
+        todo
+    }
+}
+
+fn died(todo: &Todo) -> bool {
+    todo.inputs.iter().any(|input| matches!(input, Input::Died(SERVER)))
+}
+
+/// Guards against a set-up that waits for a connection and leaves after its server was told to drain.
+#[test]
+fn a_drain_takes_back_what_has_not_left_and_says_that_it_never_ran() {
+    let (mut drive, link) = Drive::new();
+    drive.invite(1);
+    let mut todo = Todo::default();
+    drive.trunks.withdraw(SERVER, &mut todo);
+    let [Input::Server(_, name, ServerSays::Lost(error))] = &todo.inputs[..] else { panic!("{todo:?}") };
+    assert!(*name == sid(1) && error.progress == Progress::NotConnected && error.progress.never_ran());
+    assert!(drive.trunks.queue_of(link).expect("kept").is_empty());
+    // Nor does a cancel of it say anything.
+    drive.trunks.cancel(SERVER, sid(1));
+    assert!(drive.trunks.queue_of(link).expect("kept").is_empty());
+}
+
+/// A process that dies resets its connections; a machine that returns from a silence does too, and may still hold
+/// its calls. Guards against calls released while they stood.
+#[test]
+fn a_reset_is_a_death_only_where_the_server_has_spoken_lately() {
+    for (silent_ms, dies) in [(100, true), (6_000, false)] {
+        let (mut drive, link) = Drive::new();
+        drive.trunks.link_up(link, drive.now);
+        drive.stands(link, 1);
+        drive.now = at(silent_ms);
+        assert_eq!(died(&drive.ends(link, LinkEnd::Ended(End::Reset))), dies);
+    }
+}
+
+/// Guards against calls that end unheard at a machine that has vanished: they are owed a release within 8 s.
+#[test]
+fn calls_of_a_server_silent_for_long_are_released_and_it_is_told_should_it_live() {
+    let (mut drive, link) = Drive::new();
+    drive.trunks.link_up(link, drive.now);
+    drive.stands(link, 1);
+    drive.now = at(3_000);
+    let todo = drive.watch();
+    assert!(!died(&todo) && todo.links.len() == 1, "another connection is offered");
+    let (next, part, _) = todo.dues[0];
+    assert_eq!((next, part), (at(7_500), WirePart::SipWatch));
+    drive.now = next;
+    assert!(died(&drive.watch()));
+    let second = todo.links[0].0;
+    drive.trunks.link_up(second, drive.now);
+    assert!(!drive.trunks.queue_of(second).expect("kept").is_empty());
+}
+
+#[test]
+fn a_server_that_speaks_keeps_its_calls_however_long_they_last() {
+    let (mut drive, link) = Drive::new();
+    drive.trunks.link_up(link, drive.now);
+    drive.stands(link, 1);
+    for second in 1..=30 {
+        drive.now = at(second * 1000);
+        drive.hears(link, "NOTIFY sip:a@b SIP/2.0\r\nCSeq: 1 NOTIFY\r\nContent-Length: 0\r\n\r\n");
+        assert!(!died(&drive.watch()));
+    }
+}
+
+#[test]
+fn a_connection_that_answers_nothing_gets_no_further_set_ups_while_another_can_be_had() {
+    let (mut drive, link) = Drive::new();
+    drive.trunks.link_up(link, drive.now);
+    drive.invite(1);
+    drive.now = at(800);
+    let todo = drive.invite(2);
+    assert_eq!(todo.links.len(), 1);
+    // The new connection is refused: the second set-up never ran, the first is still out.
+    let todo = drive.ends(todo.links[0].0, LinkEnd::NotMade);
+    let [Input::Server(_, name, ServerSays::Lost(error))] = &todo.inputs[..] else { panic!("{todo:?}") };
+    assert!(*name == sid(2) && error.progress.never_ran());
+}
+
+#[test]
+fn what_concerns_a_call_goes_on_the_next_connection_when_one_is_lost() {
+    let (mut drive, link) = Drive::new();
+    drive.trunks.link_up(link, drive.now);
+    drive.stands(link, 1);
+    let todo = drive.ends(link, LinkEnd::Ended(End::Closed));
+    assert!(!died(&todo));
+    let (again, part, key) = todo.dues[0];
+    assert_eq!((part, key), (WirePart::SipReach, 1));
+    let mut todo = Todo::default();
+    drive.now = again;
+    drive.trunks.due(key, &mut todo);
+    let next = todo.links[0].0;
+    drive.trunks.bye(SERVER, sid(1), 16, &mut Todo::default());
+    drive.trunks.link_up(next, drive.now);
+    assert!(!drive.trunks.queue_of(next).expect("kept").is_empty());
+}
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,259 @@
+//! Tables of cases for the parsers: whole, split, joined, oversized, malformed.
+
+use std::path::Path;
+
+use lockpoint::config::{parse_operator, parse_platform};
+use lockpoint::core::{Refusal, Sid};
+use lockpoint::directory::bulletin::{parse_answer, parse_page};
+use lockpoint::front::jsonl::{self, Line};
+use lockpoint::iax2::frame::{self, Datagram, Elements, Frame, Iax, Kind};
+use lockpoint::interface::{Cause, Cell, LoadField, ServerState, Span};
+use lockpoint::upstream::sip::message::{self, Message, SipError, Start};
+use rstest::rstest;
+
+// ---- JSON lines ------------------------------------------------------------------------------------------
+
+const OPEN: &str = r#"{"msg":"open","sid":"9b1f03aa5c7e2d41","attrs":{"class":"voice","left":"1500","key":"7f3a","extras":"dest:2;width:1;via:-1"},"text":"a\r\nb"}"#;
+
+#[test]
+fn a_set_up_is_read_whole() {
+    let Ok(Line::Open(open)) = jsonl::parse(OPEN.as_bytes()) else { panic!("no set-up") };
+    assert_eq!((open.sid.as_str(), &*open.class, &*open.number), ("9b1f03aa5c7e2d41", "voice", "7f3a"));
+    assert_eq!((open.left, open.dest), (Span::from_millis(1500), Some(Cell(2))));
+    assert_eq!(&*open.body, "a\r\nb");
+}
+
+#[rstest]
+#[case::left_as_a_number(OPEN.replace(r#""1500""#, "1500"), true)]
+#[case::unknown_fields(OPEN.replace(r#""msg""#, r#""new":{"a":[1]},"msg""#), true)]
+#[case::no_choice(OPEN.replace("dest:2", "dest:-1"), true)]
+#[case::no_class(OPEN.replace("class", "klass"), false)]
+#[case::no_number(OPEN.replace("\"key\"", "\"kay\""), false)]
+#[case::a_number_that_breaks_out(OPEN.replace("7f3a", "7f@x SIP/2.0\\r\\n"), false)]
+#[case::no_time(OPEN.replace("1500", "soon"), false)]
+#[case::no_description(OPEN.replace("\"text\"", "\"test\""), false)]
+#[case::short_name(OPEN.replace("9b1f03aa5c7e2d41", "9b1f"), false)]
+#[case::name_not_hex(OPEN.replace("9b1f03aa5c7e2d41", "9b1f03aa5c7e2d4z"), false)]
+#[case::cut_short(OPEN[..60].to_owned(), false)]
+#[case::not_an_object("[1]".to_owned(), false)]
+#[case::empty(String::new(), false)]
+fn set_ups(#[case] line: String, #[case] reads: bool) {
+    assert_eq!(matches!(jsonl::parse(line.as_bytes()), Ok(Line::Open(_))), reads);
+}
+
+#[rstest]
+#[case(r#"{"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":34}"#, "Close")]
+#[case(r#"{"msg":"closed","sid":"9b1f03aa5c7e2d41"}"#, "Closed")]
+#[case(r#"{"msg":"probe","sid":"0","code":0}"#, "Probe")]
+#[case(r#"{"msg":"trying","sid":"9b1f03aa5c7e2d41"}"#, "Other")]
+fn other_lines(#[case] line: &str, #[case] kind: &str) {
+    let read = format!("{:?}", jsonl::parse(line.as_bytes()).expect("readable"));
+    assert!(read.starts_with(kind), "{read}");
+}
+
+// ---- SIP -------------------------------------------------------------------------------------------------
+
+const ANSWER: &str = "SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 9b1f03aa5c7e2d41\r\nCSeq: 1 INVITE\r\nP-Report: x0:12;x1:40;queue:3;new:1;util\r\nContent-Length: 4\r\n\r\na\r\nb";
+
+fn read(bytes: &[u8]) -> Result<Option<(Message, usize)>, SipError> {
+    message::parse(bytes)
+}
+
+#[test]
+fn sip_messages_come_split_anywhere_and_joined() {
+    for cut in 0..ANSWER.len() {
+        assert_eq!(read(&ANSWER.as_bytes()[..cut]), Ok(None), "cut at {cut}");
+    }
+    let two = format!("{ANSWER}{ANSWER}");
+    let (message, used) = read(two.as_bytes()).expect("readable").expect("whole");
+    assert_eq!((message.start, used), (Start::Answer(200), ANSWER.len()));
+    assert_eq!((message.call_id.as_str(), message.cseq), ("9b1f03aa5c7e2d41", (1, "INVITE".to_owned())));
+    let figures = [(LoadField::Idle, 12.0), (LoadField::Circuits, 40.0), (LoadField::Pending, 3.0)];
+    assert_eq!((message.report, message.body), (figures.to_vec(), b"a\r\nb".to_vec()));
+}
+
+#[rstest]
+#[case::lower_case_and_short(ANSWER.replace("Call-ID", "i").replace("Content-Length", "l"), "whole")]
+#[case::no_length(ANSWER.replace("Content-Length: 4", "X: 4"), "framing")]
+#[case::length_no_number(ANSWER.replace("Length: 4", "Length: four"), "framing")]
+#[case::too_long(ANSWER.replace("Length: 4", "Length: 16385"), "framing")]
+#[case::header_without_colon(ANSWER.replace("Via: ", "Via "), "framing")]
+#[case::headers_without_end("A: b\r\n".repeat(3_000), "framing")]
+#[case::code_out_of_range(ANSWER.replace("200 OK", "42 OK"), "alone")]
+#[case::no_sip(ANSWER.replace("SIP/2.0 200 OK", "NOISE"), "alone")]
+#[case::other_version(ANSWER.replace("SIP/2.0 200 OK", "BYE sip:a@b SIP/3.0"), "alone")]
+fn sip_faults(#[case] text: String, #[case] costs: &str) {
+    let got = match read(text.as_bytes()) {
+        Ok(Some(_)) => "whole",
+        Ok(None) => "part",
+        Err(SipError::Framing(_)) => "framing",
+        Err(SipError::Message { length, .. }) => {
+            assert_eq!(length, text.len());
+            "alone"
+        }
+    };
+    assert_eq!(got, costs);
+}
+
+#[rstest]
+#[case(503, "P-Reason: no_path\r\n", Refusal::Full, Cause::NoCircuit)]
+#[case(
+    503,
+    "P-Reason: queue_long\r\nP-Line-Ms: 250\r\n",
+    Refusal::Full,
+    Cause::ProcessorFullFor(Span(250_000))
+)]
+#[case(503, "P-Reason: queue_long\r\nP-Line-Ms: x\r\n", Refusal::Full, Cause::ProcessorFull)]
+#[case(486, "P-Reason: line_taken\r\n", Refusal::Error, Cause::NumberBusy)]
+#[case(500, "", Refusal::Error, Cause::None)]
+#[case(480, "", Refusal::Moot, Cause::None)]
+#[case(504, "", Refusal::Reset, Cause::None)]
+#[case(302, "P-Reason: else\r\n", Refusal::Error, Cause::None)]
+fn sip_refusals(#[case] code: u16, #[case] headers: &str, #[case] refusal: Refusal, #[case] cause: Cause) {
+    let text = format!("SIP/2.0 {code} X\r\nCSeq: 1 INVITE\r\n{headers}Content-Length: 0\r\n\r\n");
+    let (message, _) = read(text.as_bytes()).expect("readable").expect("whole");
+    assert_eq!(message::refusal_of(&message, code), (refusal, cause));
+}
+
+#[test]
+fn what_is_written_can_be_read() {
+    let sid = Sid::parse("9b1f03aa5c7e2d41").expect("a name");
+    let extra = "Reason: Q.850;cause=41\r\n";
+    let bytes = message::request("BYE", "7f3a", sid, (2, "BYE"), extra, "\u{e9}");
+    let (message, used) = read(&bytes).expect("readable").expect("whole");
+    assert_eq!((used, message.number.as_str(), message.cause), (bytes.len(), "7f3a", Some(41)));
+    assert_eq!(message.body, "\u{e9}".as_bytes());
+}
+
+// ---- The bulletin ----------------------------------------------------------------------------------------
+
+const PAGE: &str = r#"{"no":41,"items":[{"no":40,"recall":{}},{"no":41,"roster":{"seq":7,"whole":false,"hosts":[
+    {"host":"s-00c41f7a","dial":"10.1.0.9:2905","site":"east","class":"std","block":2,"health":"draining","share":4,"born_ms":5},
+    {"host":"bad","dial":"nowhere","health":"ready"},{"host":"worse","dial":"10.1.0.9:1","health":"tired"}]}},"what"]}"#;
+
+#[test]
+fn a_page_is_read_and_its_malformed_parts_cost_themselves() {
+    let page = parse_page(PAGE.as_bytes(), &["west".to_owned(), "east".to_owned()]).expect("readable");
+    assert_eq!((page.no, page.malformed, page.changes.len()), (41, 3, 1));
+    let line = &page.changes[0].hosts[0];
+    assert_eq!((line.host.as_str(), line.cell, line.zone, line.born_ms), ("s-00c41f7a", Cell(2), 1, 5));
+    assert_eq!(line.state, ServerState::Draining);
+    assert!(parse_page(b"{\"items\":[]}", &[]).is_err());
+}
+
+#[rstest]
+#[case::counted("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP", false, Some(("abc", 41)))]
+#[case::chunked("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", false, Some(("abc", 65)))]
+#[case::until_the_end("HTTP/1.1 200 OK\r\n\r\nabc", true, Some(("abc", 22)))]
+#[case::not_whole("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", false, None)]
+#[case::chunk_not_whole("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\na", false, None)]
+#[case::head_not_whole("HTTP/1.1 200", false, None)]
+fn http_answers(#[case] text: &str, #[case] ended: bool, #[case] body: Option<(&str, usize)>) {
+    let got = parse_answer(text.as_bytes(), ended).expect("readable");
+    assert_eq!(got, body.map(|(body, used)| (body.as_bytes().to_vec(), used)));
+}
+
+#[rstest]
+#[case::no_http("NOISE\r\n\r\n")]
+#[case::an_error("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")]
+#[case::too_long("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n")]
+#[case::no_length("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n")]
+#[case::no_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")]
+#[case::cut_short("HTTP/1.1 2")]
+fn http_faults(#[case] text: &str) {
+    assert!(parse_answer(text.as_bytes(), true).is_err());
+}
+
+// ---- IAX2 ------------------------------------------------------------------------------------------------
+
+fn new_frame() -> Frame {
+    let elements = Elements::default()
+        .with(frame::ie::CALLED_NUMBER, b"7f3a")
+        .with(frame::ie::FORMAT, &4u32.to_be_bytes())
+        .with_variable("desc", &"d".repeat(700))
+        .with_variable("left", "1500");
+    let kind = Kind::Iax(Iax::New);
+    Frame { source: 5, dest: 0, again: false, timestamp: 7, oseq: 0, iseq: 0, kind, elements }
+}
+
+#[test]
+fn a_full_frame_of_the_rfc_is_read_and_written() {
+    // F and source 1, R and destination 2, timestamp 3, OSeqno 4, ISeqno 5, IAX control HANGUP, cause code 16.
+    let bytes = [0x80, 1, 0x80, 2, 0, 0, 0, 3, 4, 5, 6, 5, 0x2a, 1, 16];
+    let Ok(Datagram::Full(frame)) = frame::parse(&bytes) else { panic!("no full frame") };
+    assert_eq!((frame.source, frame.dest, frame.again, frame.timestamp), (1, 2, true, 3));
+    assert_eq!((frame.oseq, frame.iseq, frame.kind), (4, 5, Kind::Iax(Iax::Hangup)));
+    assert_eq!(frame.elements.number(frame::ie::CAUSE_CODE), Some(16));
+    assert_eq!(frame.bytes(), bytes);
+}
+
+#[test]
+fn long_variables_go_in_parts_and_come_back_whole() {
+    let frame = new_frame();
+    assert!(frame.elements.0.len() > 5);
+    assert_eq!(frame::parse(&frame.bytes()), Ok(Datagram::Full(frame.clone())));
+    assert_eq!(frame.elements.variable("desc"), Some("d".repeat(700)));
+    assert_eq!(
+        (frame.elements.variable("left").as_deref(), frame.elements.variable("lef")),
+        (Some("1500"), None)
+    );
+}
+
+#[test]
+fn a_frame_cut_anywhere_is_an_error_or_a_shorter_frame_and_never_more() {
+    let bytes = new_frame().bytes();
+    for cut in 0..bytes.len() {
+        match frame::parse(&bytes[..cut]) {
+            Ok(Datagram::Full(short)) => {
+                assert!(cut >= 12 && short.elements.0.len() < new_frame().elements.0.len())
+            }
+            Ok(Datagram::Media) => panic!("cut at {cut} is no media"),
+            Err(_) => {}
+        }
+    }
+}
+
+#[rstest]
+#[case::mini_frame(&[0x00, 5, 0, 1, 9, 9], true)]
+#[case::meta_frame(&[0x00, 0, 0x80, 1, 0, 0, 0, 0], true)]
+#[case::no_number(&[0x80, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6, 1], false)]
+#[case::element_past_the_end(&[0x80, 1, 0, 0, 0, 0, 0, 0, 0, 0, 6, 1, 0x01, 4, b'7'], false)]
+#[case::element_without_length(&[0x80, 1, 0, 0, 0, 0, 0, 0, 0, 0, 6, 1, 0x01], false)]
+#[case::oversized(&[0xff; 20_000], false)]
+fn other_datagrams(#[case] bytes: &[u8], #[case] media: bool) {
+    assert_eq!(matches!(frame::parse(bytes), Ok(Datagram::Media)), media);
+    assert_eq!(frame::parse(bytes).is_err(), !media);
+}
+
+// ---- Configuration ---------------------------------------------------------------------------------------
+
+const OPERATOR: &str = include_str!("../deploy/agent.toml");
+
+#[test]
+fn the_example_file_can_be_used() {
+    let config = parse_operator(Path::new("agent.toml"), OPERATOR).expect("no fault");
+    assert!(config.instances.len() >= 2 && config.instances.iter().any(|i| i.dns_sd.is_some()));
+}
+
+#[rstest]
+#[case::not_toml(OPERATOR.replacen("control =", "control", 1), "line ")]
+#[case::no_control(OPERATOR.replacen("control =", "kontrol =", 1), "control")]
+#[case::no_address(OPERATOR.replacen("listen = \"", "listen = \"x", 1), "instance[0].listen")]
+#[case::twice(OPERATOR.replace("name = \"judges\"", "name = \"desks\""), "instance[1].name")]
+#[case::no_worth(OPERATOR.replacen("worth = 1.0", "wirth = 1.0", 1), "instance[0].settings")]
+#[case::no_instance("control = \"a\"".to_owned(), "'instance'")]
+fn operators_faults_name_file_and_key(#[case] text: String, #[case] key: &str) {
+    let error = parse_operator(Path::new("agent.toml"), &text).expect_err("a fault").to_string();
+    assert!(error.contains("agent.toml") && error.contains(key) && !error.contains('\n'), "{error}");
+}
+
+#[rstest]
+#[case::not_json("{", "config.json")]
+#[case::no_bulletin(r#"{"settings":{}}"#, "bulletin")]
+#[case::bad_address(r#"{"bulletin":"x","settings":{}}"#, "bulletin")]
+#[case::no_settings(r#"{"bulletin":"127.0.0.1:1"}"#, "settings")]
+#[case::settings_lack(r#"{"bulletin":"127.0.0.1:1","settings":{"balancers":1}}"#, "settings")]
+fn platform_faults_name_file_and_key(#[case] text: &str, #[case] key: &str) {
+    let error = parse_platform(Path::new("config.json"), text.as_bytes()).expect_err("a fault").to_string();
+    assert!(error.contains("config.json") && error.contains(key), "{error}");
+}
