--- a/src/iax2/legs.rs
+++ b/src/iax2/legs.rs
@@ -159,6 +159,13 @@
         now: Time,
         out: &mut Vec<Outgoing>,
     ) -> Option<Told<T>> {
+        if frame.kind == Kind::Iax(Iax::Poke) {
+            // It belongs to no call, whatever number its sender put on it.
+            let mut pong = frame.inval();
+            (pong.kind, pong.source) = (Kind::Iax(Iax::Pong), 1);
+            out.push((peer, pong.bytes()));
+            return None;
+        }
         let is_new = frame.kind == Kind::Iax(Iax::New);
         let no =
             if frame.dest == 0 { self.by_peer.get(&(peer, frame.source)).copied() } else { Some(frame.dest) };
@@ -169,11 +176,7 @@
             if is_new && frame.dest == 0 {
                 return Some(Told::New(frame.clone()));
             }
-            if frame.kind == Kind::Iax(Iax::Poke) {
-                let mut pong = frame.inval();
-                (pong.kind, pong.source) = (Kind::Iax(Iax::Pong), 1);
-                out.push((peer, pong.bytes()));
-            } else if frame.kind.counts() {
+            if frame.kind.counts() {
                 out.push((peer, frame.inval().bytes()));
             }
             return None;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -392,7 +392,7 @@
         "classes": [{"dedup-scope": "all", "goal-time-us": 2000000, "hard-limit-us": 9000000, "late-worth": 0.1,
             "name": "judge-call", "semantics": "free", "streamed": true, "window-us": 5000000, "worth": 1.0}],
         "discovery": "push",
-        "extra": {"class-cells": [[0, 1, 2]], "clear-wait-us": 500000, "holding-us": [9800000], "shape": "skills",
+        "extra": {"class-cells": [[0, 1, 2, 3]], "clear-wait-us": 500000, "holding-us": [9800000], "shape": "skills",
             "this-node": -1, "widths": [1], "says-wait": true},
         "granularity-us": 5000,
         "report": {"how": "inline", "names": ["idle", "circuits", "cpu_share", "pending"]},
