--- a/tests/support/iax2.rs
+++ b/tests/support/iax2.rs
@@ -287,12 +287,12 @@
                 serving.asked.set(serving.asked.get() + 1);
                 let mut answer = Message::new(query.metadata.id, MessageType::Response, OpCode::Query);
                 answer.add_query(asked.clone());
-                let records = serving.records.borrow();
+                let records = serving.records.borrow().clone();
                 if !records.iter().any(|r| r.name == *asked.name()) {
                     answer.metadata.response_code = ResponseCode::NXDomain;
                 }
-                let fits = |r: &&Record| r.name == *asked.name() && r.record_type() == asked.query_type();
-                answer.add_answers(records.iter().filter(fits).cloned());
+                let fits = |r: &Record| r.name == *asked.name() && r.record_type() == asked.query_type();
+                answer.add_answers(records.into_iter().filter(fits));
                 let _ = socket.send_to(&answer.to_vec().expect("an answer"), from).await;
             }
         });
