--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -94,6 +94,7 @@
     /// Takes a call out of the table of those that are owed an answer.
     pub(super) fn close(&mut self, sid: Sid) -> Option<crate::core::Open> {
         let open = self.open.remove(&sid)?;
+        self.held_bytes = self.held_bytes.saturating_sub(open.body.len());
         self.names.remove(&open.id);
         self.deadlines.clear(&crate::core::Due::Attempt(open.id));
         self.deadlines.clear(&crate::core::Due::Caller(open.id));
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -77,7 +77,7 @@
         let mut entries = Vec::new();
         for line in hosts {
             let next = ServerId { address: self.hosts.len() as u32 + 1, port: 0 };
-            let server = *self.hosts.entry(line.host.clone()).or_insert(next);
+            let server = *self.hosts.entry((source, line.host.clone())).or_insert(next);
             entries.push(entry_of(server, &line));
             let before = self.servers.get(&server).map(|l| (l.line.born_ms, l.line.dial, l.line.state));
             let fresh = before.is_some_and(|(born, dial, _)| born != line.born_ms || dial != line.dial);
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -1,6 +1,6 @@
 //! Stage 1: a set-up is read against the settings and gets its place in the table.
 
-use crate::core::{Client, Core, Due, Effect, Open, SetUp, Sid};
+use crate::core::{Client, Core, Due, Effect, FrontKind, Open, SetUp, Sid};
 use crate::interface::{CallId, Event, NewCall, Number, Span, Time};
 
 /// Taken off the caller's wait: what the way to the caller and the turn of the loop may cost. Guards against a
@@ -12,7 +12,14 @@
         // A repeated name is no new call: the first keeps its answer.
         if self.open.contains_key(&set_up.sid) || self.book.knows(set_up.sid) {
             self.counts.duplicates += 1;
-            return out.push(Effect::Settled(client));
+            let first = self.open.get(&set_up.sid).map(|open| open.client);
+            return out.push(match client.front {
+                // Guards against a leg left waiting for an answer that its namesake gets.
+                FrontKind::Iax2 if first != Some(client) => {
+                    Effect::Refuse { client, sid: set_up.sid, again: false, wait: Span::default() }
+                }
+                _ => Effect::Settled(client),
+            });
         }
         self.counts.taken += 1;
         let id = CallId(self.next_call);
@@ -40,6 +47,7 @@
         let SetUp { number, body, .. } = set_up;
         let not_before = Time::default();
         let open = Open { id, client, class, number, body, valid_until, attempts: 0, out: None, not_before };
+        self.held_bytes += open.body.len();
         self.open.insert(sid, open);
         self.names.insert(id, sid);
         self.deadlines.set(valid_until, Due::Caller(id));
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -39,16 +39,15 @@
     pub iax2_malformed: u64,
     pub mail: u64,
     pub lost_connections: u64,
+    pub panics: u64,
 }
 
 impl Counters {
     /// One line of `name=value` pairs.
     pub fn line(&self) -> String {
         let value = serde_json::to_value(self).unwrap_or_default();
-        let pairs = value.as_object().into_iter().flatten().map(|(name, value)| match value.as_str() {
-            Some(text) => format!("{name}={text}"),
-            None => format!("{name}={value}"),
-        });
-        pairs.collect::<Vec<_>>().join(" ")
+        let counts = value.as_object().into_iter().flatten().filter(|(_, value)| value.is_number());
+        let pairs = counts.map(|(name, value)| format!(" {name}={value}"));
+        format!("name={}{}", self.name, pairs.collect::<String>())
     }
 }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -110,6 +110,7 @@
     state: RefCell<State>,
     /// The earliest deadline has changed.
     rearm: Notify,
+    panics: Cell<u64>,
     stopping: Cell<bool>,
     pool: Pool,
     connect_timeout: Duration,
@@ -172,6 +173,7 @@
             clock: Clock::new(),
             state: RefCell::new(state),
             rearm: Notify::new(),
+            panics: Cell::new(0),
             stopping: Cell::new(false),
             pool: Pool::new(most_clients + OWN_SOCKETS),
             connect_timeout: Duration::from_micros(config.connect_timeout.0),
@@ -239,7 +241,10 @@
             let zones = config.zones.clone();
             spawn_local(async move {
                 let failed = |_| failer.0.state.borrow_mut().tally.dns_failures += 1;
-                let take = |hosts| taker.input(Input::List { source: Source::DnsSd, whole: true, hosts });
+                let take = |hosts| {
+                    let list = Input::List { source: Source::DnsSd, whole: true, hosts };
+                    taker.guarded(|_, todo| todo.inputs.push(list));
+                };
                 dns_sd::follow(dns.resolver, dns.service, zones, take, failed).await;
             });
         }
@@ -341,6 +346,7 @@
             iax2_malformed: state.callers.counts.malformed + state.servers.counts.malformed,
             mail: tally.mail,
             lost_connections: tally.lost,
+            panics: self.0.panics.get(),
         }
     }
 
@@ -374,7 +380,7 @@
     }
 
     fn page(&self, page: Page) {
-        self.turn(|state, todo| {
+        self.guarded(|state, todo| {
             state.tally.bulletin += page.malformed;
             let news = page.changes.into_iter().map(|change| Input::List {
                 source: Source::Bulletin,
@@ -396,13 +402,21 @@
                         _ = tokio::time::sleep_until(self.0.clock.until(at)) => {}
                     }
                     let now = self.0.clock.now();
-                    self.turn(|state, todo| state.sweep(now, todo));
+                    self.guarded(|state, todo| state.sweep(now, todo));
                 }
                 None => self.0.rearm.notified().await,
             }
         }
     }
 
+    /// The same for a task that serves many: a panic costs what caused it alone, and is counted.
+    fn guarded(&self, work: impl FnOnce(&mut State, &mut Todo)) {
+        let turn = std::panic::AssertUnwindSafe(|| self.turn(work));
+        if std::panic::catch_unwind(turn).is_err() {
+            self.0.panics.set(self.0.panics.get() + 1);
+        }
+    }
+
     // ---- Sockets -----------------------------------------------------------------------------
 
     async fn accept(self, listener: TcpListener) {
@@ -466,6 +480,8 @@
     /// Makes a connection to a call server and serves it.
     async fn link(self, no: u64, dial: SocketAddr) {
         let Some(queue) = self.0.state.borrow().sip.queue_of(no) else { return };
+        // Guards against a panic in reading one connection's bytes that leaves its entry behind.
+        let gone = LinkGone { instance: self.clone(), no, how: Cell::new(LinkEnd::Ended(End::Unreadable)) };
         let connect = tokio::time::timeout(self.0.connect_timeout, TcpStream::connect(dial));
         let how = tokio::select! {
             made = connect => match made {
@@ -485,8 +501,7 @@
             }
             Err(end) => end,
         };
-        let now = self.0.clock.now();
-        self.turn(|state, todo| state.sip.link_ended(no, end, now, todo));
+        gone.how.set(end);
     }
 
     async fn hear_iax2(
@@ -499,7 +514,7 @@
             match socket.recv_from(&mut bytes).await {
                 Ok((n, from)) => {
                     let now = self.0.clock.now();
-                    self.turn(|state, todo| take(state, from, &bytes[..n], now, todo));
+                    self.guarded(|state, todo| take(state, from, &bytes[..n], now, todo));
                 }
                 Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
             }
@@ -514,7 +529,8 @@
                     let number = self.0.state.borrow().peers.number_of(from);
                     if let Some(number) = number {
                         self.0.state.borrow_mut().tally.mail += 1;
-                        self.input(Input::Mail(number, bytes[..n].to_vec()));
+                        let mail = Input::Mail(number, bytes[..n].to_vec());
+                        self.guarded(|_, todo| todo.inputs.push(mail));
                     }
                 }
                 Ok(_) => {}
@@ -540,7 +556,7 @@
     fn drop(&mut self) {
         let client = Client { front: FrontKind::JsonLines, no: self.no };
         if self.instance.0.state.try_borrow_mut().is_ok() {
-            self.instance.turn(|state, todo| {
+            self.instance.guarded(|state, todo| {
                 state.clients.remove(self.no);
                 todo.inputs.push(Input::ClientDown(client));
             });
@@ -549,6 +565,22 @@
     }
 }
 
+/// Takes a call server's connection off the books when its task ends, however it ends.
+struct LinkGone {
+    instance: Instance,
+    no: u64,
+    how: Cell<LinkEnd>,
+}
+
+impl Drop for LinkGone {
+    fn drop(&mut self) {
+        if self.instance.0.state.try_borrow_mut().is_ok() {
+            let now = self.instance.0.clock.now();
+            self.instance.guarded(|state, todo| state.sip.link_ended(self.no, self.how.get(), now, todo));
+        }
+    }
+}
+
 impl State {
     fn sweep(&mut self, now: Time, todo: &mut Todo) {
         let mut effects = Vec::new();
--- a/src/net/queue.rs
+++ b/src/net/queue.rs
@@ -11,7 +11,7 @@
 use crate::core::Sid;
 
 /// Bytes that may wait on one connection.
-const MOST_WAITING: usize = 512 * 1024;
+const MOST_WAITING: usize = 128 * 1024;
 
 /// A message that waits.
 #[derive(Debug, Clone)]
--- a/tests/iax2.rs
+++ b/tests/iax2.rs
@@ -87,6 +87,26 @@
     });
 }
 
+/// Guards against a leg left waiting for an answer that its namesake gets.
+#[test]
+fn a_second_leg_with_the_name_of_a_call_that_is_known_is_rejected_and_the_first_keeps_its_answer() {
+    on_one_thread(async {
+        let world = World::default();
+        let (controller, _server, _) = with_server(&world, answers("y")).await;
+        let at = controller.iax2_at.expect("a port");
+        let (first, second) =
+            (IaxCaller::start(&world, "c", at).await, IaxCaller::start(&world, "d", at).await);
+        first.open(&name(1), 2_000, 0, "x");
+        world.until("the answer", is(&name(1), What::Ready("y".into()))).await;
+        second.open(&name(1), 2_000, 0, "x");
+        let rejected = world.until("the second's", |s| s.who == "d" && s.what == What::Close(31, None));
+        rejected.await;
+        first.hang_up(&name(1));
+        world.until("ended there", is(&name(1), What::Bye(16))).await;
+        assert_eq!(controller.instance.counters().iax2_calls_out, 1);
+    });
+}
+
 #[test]
 fn a_server_silent_mid_set_up_costs_one_attempt_and_the_next_waits_for_the_release() {
     on_one_thread(async {
