Keep a call server's new connections when the list tells of its start late

The machine came back at 15.1 s and the controller connected anew; the list told of the start 1.6 s later, and Trunks::reach (upstream/sip/mod.rs) aborted every connection, the new one too ('LINK 14 Ended(Ours)'). Change: only connections made before the start are ended, or all if the address changed; the same for IAX2 legs. The new test was seen to fail with the old rule.

--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -81,6 +81,7 @@
             entries.push(entry_of(server, &line));
             let before = self.servers.get(&server).map(|l| (l.line.born_ms, l.line.dial, l.line.state));
             let fresh = before.is_some_and(|(born, dial, _)| born != line.born_ms || dial != line.dial);
+            let fresh = fresh.then_some(Time(line.born_ms.saturating_mul(1000)));
             let (dial, protocol, state) = (line.dial, line.protocol, line.state);
             self.servers.insert(server, Listed { line, source });
             match state {
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use crate::interface::{Cause, Cell, LoadField, ServerId, ServerState, Span};
+use crate::interface::{Cause, Cell, LoadField, ServerId, ServerState, Span, Time};
 
 /// A call's name on the wires: 16 characters, passed on as they came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -264,7 +264,7 @@
     Cancel(ServerId, Sid),
     /// End a call that stands.
     Bye(ServerId, Sid, u16),
-    /// Keep up a way to this call server; a new one (`fresh`) replaces whatever was there.
+    /// Keep up a way to this call server; one that has started anew knows nothing of ways made before that.
     Reach {
         /// Which.
         server: ServerId,
@@ -272,8 +272,8 @@
         dial: SocketAddr,
         /// How it is spoken to.
         protocol: Protocol,
-        /// Whether it has started anew.
-        fresh: bool,
+        /// When it has started anew.
+        fresh: Option<Time>,
     },
     /// Take back what has not left for this call server.
     Withdraw(ServerId),
--- a/src/iax2/legs.rs
+++ b/src/iax2/legs.rs
@@ -136,6 +136,11 @@
         self.entries.get(&no).is_some_and(|entry| entry.leg.remote != 0)
     }
 
+    /// Whether the other side has spoken on a leg since then.
+    pub fn heard_since(&self, no: u16, since: Time) -> bool {
+        self.entries.get(&no).is_some_and(|entry| entry.leg.remote != 0 && entry.leg.heard >= since)
+    }
+
     /// What a leg is for.
     pub fn of(&self, no: u16) -> Option<&T> {
         self.entries.get(&no)?.of.as_ref()
--- a/src/upstream/iax2/mod.rs
+++ b/src/upstream/iax2/mod.rs
@@ -53,13 +53,19 @@
 
 impl Servers {
     /// Where a call server is. One that started anew knows none of the old calls.
-    pub fn reach(&mut self, server: ServerId, dial: SocketAddr, fresh: bool, now: Time, todo: &mut Todo) {
+    pub fn reach(
+        &mut self,
+        server: ServerId,
+        dial: SocketAddr,
+        fresh: Option<Time>,
+        now: Time,
+        todo: &mut Todo,
+    ) {
         self.dials.insert(server, dial);
-        if !fresh {
-            return;
-        }
-        let old: Vec<(Key, u16)> =
-            self.calls.iter().filter(|(k, _)| k.0 == server).map(|(k, (no, _))| (*k, *no)).collect();
+        let Some(born) = fresh else { return };
+        let of_old =
+            |(key, (no, _)): &(&Key, &(u16, Call))| key.0 == server && !self.legs.heard_since(*no, born);
+        let old: Vec<(Key, u16)> = self.calls.iter().filter(of_old).map(|(k, (no, _))| (*k, *no)).collect();
         for (key, no) in old {
             self.legs.forget_sent(no);
             self.broken(key, Broken::Ended, now, todo);
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -51,7 +51,8 @@
 #[derive(Debug)]
 struct Link {
     queue: Rc<WriteQueue>,
-    up: bool,
+    /// Since when it stands.
+    up: Option<Time>,
     /// Set-ups open on it, with the number called.
     out: BTreeMap<Sid, Rc<str>>,
     /// When the first set-up went out since anything was heard.
@@ -102,10 +103,12 @@
 }
 
 impl Trunks {
-    /// Keeps up a way to a call server. One that started anew has none of the old connections.
-    pub fn reach(&mut self, server: ServerId, dial: SocketAddr, fresh: bool, todo: &mut Todo) {
-        if fresh {
-            self.drop_links(server, todo);
+    /// Keeps up a way to a call server. One that started anew has none of the connections made before that. Those
+    /// made since are its own: the list tells of a start seconds late, and what is under way on them must not be
+    /// lost. Guards against releases that crossed our closing of the connection they came on.
+    pub fn reach(&mut self, server: ServerId, dial: SocketAddr, fresh: Option<Time>, todo: &mut Todo) {
+        if let Some(born) = fresh {
+            self.drop_links(server, dial, born, todo);
         }
         let trunk = self.trunks.entry(server).or_insert_with(|| Trunk {
             dial,
@@ -118,7 +121,7 @@
             watched: false,
         });
         (trunk.dial, trunk.wanted) = (dial, true);
-        if fresh {
+        if fresh.is_some() {
             trunk.again = AGAIN.0;
         }
         if trunk.links.is_empty() {
@@ -150,7 +153,7 @@
         }
         let next = if silent < ASK_AFTER { ASK_AFTER } else { CUT_AFTER };
         todo.dues.push((trunk.heard.plus(next), WirePart::SipWatch, key));
-        let speaks = trunk.links.values().any(|l| !l.up);
+        let speaks = trunk.links.values().any(|l| l.up.is_none());
         if silent >= ASK_AFTER && trunk.wanted && !speaks && trunk.links.len() < MOST_LINKS {
             self.open_link(server, todo);
         }
@@ -168,9 +171,12 @@
         todo.inputs.push(Input::Died(server));
     }
 
-    fn drop_links(&mut self, server: ServerId, todo: &mut Todo) {
-        let links = self.trunks.get(&server).map(|t| t.links.keys().copied().collect::<Vec<_>>());
-        for link in links.unwrap_or_default() {
+    fn drop_links(&mut self, server: ServerId, dial: SocketAddr, born: Time, todo: &mut Todo) {
+        let Some(trunk) = self.trunks.get(&server) else { return };
+        let moved = trunk.dial != dial;
+        let old = trunk.links.iter().filter(|(_, l)| moved || l.up.is_some_and(|since| since < born));
+        let old: Vec<u64> = old.map(|(no, _)| *no).collect();
+        for link in old {
             if let Some(l) = self.trunks.get(&server).and_then(|t| t.links.get(&link)) {
                 l.queue.abort();
             }
@@ -183,7 +189,7 @@
         let no = self.next_link;
         self.next_link += 1;
         let queue = Rc::new(WriteQueue::default());
-        trunk.links.insert(no, Link { queue, up: false, out: BTreeMap::new(), asked: None });
+        trunk.links.insert(no, Link { queue, up: None, out: BTreeMap::new(), asked: None });
         self.of_link.insert(no, server);
         todo.links.push((no, trunk.dial));
         Some(no)
@@ -228,9 +234,9 @@
     fn pick(&mut self, server: ServerId, now: Time, todo: &mut Todo) -> Option<u64> {
         let trunk = self.trunks.get(&server).filter(|t| t.wanted)?;
         let suspect = |l: &Link| l.asked.is_some_and(|at| now.since(at) > SUSPECT);
-        let healthy = trunk.links.iter().filter(|(_, l)| l.up && !suspect(l));
+        let healthy = trunk.links.iter().filter(|(_, l)| l.up.is_some() && !suspect(l));
         let healthy = healthy.min_by_key(|(_, l)| l.out.len()).map(|(no, _)| *no);
-        let coming = || trunk.links.iter().find(|(_, l)| !l.up).map(|(no, _)| *no);
+        let coming = || trunk.links.iter().find(|(_, l)| l.up.is_none()).map(|(no, _)| *no);
         if let Some(no) = healthy.or_else(coming) {
             return Some(no);
         }
@@ -260,7 +266,7 @@
         let extra = format!("Reason: Q.850;cause={cause}\r\n");
         let number = number.as_deref().unwrap_or(NO_NUMBER);
         let bytes = request("BYE", number, sid, (2, "BYE"), &extra, "");
-        let up = trunk.links.values().filter(|l| l.up).max_by_key(|l| l.asked.is_none());
+        let up = trunk.links.values().filter(|l| l.up.is_some()).max_by_key(|l| l.asked.is_none());
         match up {
             Some(link) => {
                 link.queue.push(bytes, None);
@@ -279,7 +285,7 @@
     pub fn withdraw(&mut self, server: ServerId, todo: &mut Todo) {
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         for link in trunk.links.values_mut() {
-            let progress = if link.up { Progress::Queued } else { Progress::NotConnected };
+            let progress = if link.up.is_some() { Progress::Queued } else { Progress::NotConnected };
             for sid in link.queue.take_back_all() {
                 link.out.remove(&sid);
                 self.counts.withdrawn += 1;
@@ -297,7 +303,7 @@
         (trunk.again, trunk.heard) = (AGAIN.0, now);
         let waiting = std::mem::take(&mut trunk.waiting);
         let Some(link) = trunk.links.get_mut(&no) else { return };
-        link.up = true;
+        link.up = Some(now);
         link.asked = link.asked.map(|_| now);
         for bytes in waiting {
             link.queue.push(bytes, None);
@@ -309,7 +315,7 @@
         let Some(&server) = self.of_link.get(&no) else { return };
         self.end_link(server, no, how, todo);
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
-        let none_up = trunk.links.values().all(|l| !l.up || l.asked.is_some());
+        let none_up = trunk.links.values().all(|l| l.up.is_none() || l.asked.is_some());
         let dead = match how {
             LinkEnd::Refused => true,
             LinkEnd::Ended(End::Reset) => now.since(trunk.heard) < LATELY,
@@ -340,7 +346,7 @@
         let rest = link.queue.take_rest();
         let never_left = |sid: &Sid| rest.iter().any(|item| item.set_up == Some(*sid));
         for sid in link.out.keys() {
-            let (why, progress) = match (link.up, never_left(sid)) {
+            let (why, progress) = match (link.up.is_some(), never_left(sid)) {
                 (false, _) => (Broken::Connect, Progress::NotConnected),
                 (true, true) => (Broken::Ended, Progress::Queued),
                 (true, false) => (Broken::Ended, Progress::Written),
--- a/src/upstream/sip/tests.rs
+++ b/src/upstream/sip/tests.rs
@@ -22,7 +22,7 @@
     fn new() -> (Drive, u64) {
         let mut drive = Drive { trunks: Trunks::default(), now: at(0) };
         let mut todo = Todo::default();
-        drive.trunks.reach(SERVER, ([127, 0, 0, 1], 1).into(), false, &mut todo);
+        drive.trunks.reach(SERVER, ([127, 0, 0, 1], 1).into(), None, &mut todo);
         (drive, todo.links[0].0)
     }
     fn invite(&mut self, n: u64) -> Todo {
@@ -106,6 +106,27 @@
     assert!(!drive.trunks.queue_of(second).expect("kept").is_empty());
 }
 
+/// The list tells of a start seconds late, when a new connection already stands. Guards against releases lost on a
+/// connection that was closed for it.
+#[test]
+fn a_late_word_of_a_start_ends_the_connections_made_before_it_and_no_other() {
+    let (mut drive, link) = Drive::new();
+    drive.trunks.link_up(link, at(0));
+    drive.now = at(800);
+    drive.invite(1);
+    drive.now = at(2_000);
+    let second = drive.invite(2).links[0].0;
+    drive.trunks.link_up(second, drive.now);
+    let mut todo = Todo::default();
+    drive.trunks.reach(SERVER, ([127, 0, 0, 1], 1).into(), Some(at(1_500)), &mut todo);
+    assert!(drive.trunks.queue_of(link).is_none() && drive.trunks.queue_of(second).is_some());
+    let [Input::Server(_, name, ServerSays::Lost(_))] = &todo.inputs[..] else { panic!("{todo:?}") };
+    assert_eq!((*name, todo.links.len()), (sid(1), 0));
+    // At another address everything is the old process's.
+    drive.trunks.reach(SERVER, ([127, 0, 0, 2], 1).into(), Some(at(1_500)), &mut todo);
+    assert!(drive.trunks.queue_of(second).is_none() && todo.links.len() == 1);
+}
+
 #[test]
 fn a_server_that_speaks_keeps_its_calls_however_long_they_last() {
     let (mut drive, link) = Drive::new();
