--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -31,6 +31,8 @@
     ended: BTreeMap<Sid, ()>,
     order: VecDeque<Sid>,
     unsaid: BTreeMap<Sid, (Client, u16)>,
+    /// Releases said on a connection whose caller has not confirmed them.
+    unheard: BTreeMap<Sid, (Client, u16)>,
 }
 
 impl Book {
@@ -54,9 +56,11 @@
     }
     pub(super) fn heard(&mut self, sid: Sid) {
         self.unsaid.remove(&sid);
+        self.unheard.remove(&sid);
     }
     pub(super) fn forget(&mut self, sid: Sid) {
         self.ended.remove(&sid);
+        self.unheard.remove(&sid);
     }
     pub(super) fn drop_unsaid(&mut self, sid: Sid) {
         self.unsaid.remove(&sid);
@@ -78,8 +82,7 @@
             for (sid, cause) in waiting {
                 self.book.unsaid.remove(&sid);
                 self.deadlines.clear(&Due::Unsaid(sid));
-                self.counts.released += 1;
-                out.push(Effect::Release(client, sid, cause));
+                self.say_release(client, sid, cause, out);
             }
         }
     }
@@ -93,6 +96,13 @@
         for sid in open {
             self.hang_up(sid, out);
         }
+        // Guards against releases that were written on a connection which its caller was just closing.
+        let unheard = self.book.unheard.iter().filter(|(_, (on, _))| *on == client);
+        let unheard: Vec<(Sid, u16)> = unheard.map(|(sid, (_, cause))| (*sid, *cause)).collect();
+        for (sid, cause) in unheard {
+            self.book.unheard.remove(&sid);
+            self.say_release(client, sid, cause, out);
+        }
         if client.front == FrontKind::Iax2 {
             let standing = self.book.standing.iter().filter(|(_, s)| s.client == client);
             let standing: Vec<Sid> = standing.map(|(sid, _)| *sid).collect();
@@ -191,6 +201,9 @@
         match own.or_else(any) {
             Some(client) => {
                 self.counts.released += 1;
+                if shared && self.book.unheard.len() < MOST_KEPT {
+                    self.book.unheard.insert(sid, (client, cause));
+                }
                 out.push(Effect::Release(client, sid, cause));
             }
             None if shared && self.book.unsaid.len() < MOST_KEPT => {
@@ -219,7 +232,7 @@
         self.deadlines.set(self.now.plus(REMEMBERED), Due::Forget(sid));
         while self.book.order.len() > MOST_KEPT {
             let Some(oldest) = self.book.order.pop_front() else { break };
-            self.book.ended.remove(&oldest);
+            self.book.forget(oldest);
             self.deadlines.clear(&Due::Forget(oldest));
         }
     }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -199,6 +199,26 @@
     assert!(matches!(effects[..], [Effect::Release(c, _, 16)] if c == next));
 }
 
+/// Guards against a release written on a connection that its caller was just closing.
+#[test]
+fn a_release_that_was_not_confirmed_is_said_again_when_its_connection_goes() {
+    for confirmed in [false, true] {
+        let mut drive = Drive::new(1);
+        let other = Client { no: 2, ..CLIENT };
+        drive.input(Input::ClientUp(other));
+        let server = invited(&drive.open(1, 9_000)).expect("sent");
+        drive.says(server, 1, ServerSays::Answered("y".into()));
+        let effects = drive.says(server, 1, ServerSays::Released(16, Report::new()));
+        assert!(matches!(effects[..], [Effect::Release(CLIENT, _, 16)]));
+        if confirmed {
+            drive.input(Input::Heard(Sid::numbered(1)));
+        }
+        let effects = drive.input(Input::ClientDown(CLIENT));
+        let again = effects.iter().any(|e| matches!(e, Effect::Release(c, _, 16) if *c == other));
+        assert_eq!(again, !confirmed);
+    }
+}
+
 #[test]
 fn what_drains_or_is_gone_gets_nothing_and_has_its_waiting_set_ups_withdrawn() {
     for state in [ServerState::Draining, ServerState::Gone] {
