Free an instance's datagram addresses when it has drained

Seen when trying the README: after 'drain' the agent still held the instance's IAX2 socket, since the status handle keeps the state (instance.rs, serve). The agent test was seen to fail with 'Address already in use', then passes; tasks are no longer added once an instance has ended.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -111,6 +111,8 @@
     /// The earliest deadline has changed.
     rearm: Notify,
     panics: Cell<u64>,
+    /// Its tasks are about to be dropped: none may be added.
+    ended: Cell<bool>,
     stopping: Cell<bool>,
     pool: Pool,
     connect_timeout: Duration,
@@ -174,6 +176,7 @@
             state: RefCell::new(state),
             rearm: Notify::new(),
             panics: Cell::new(0),
+            ended: Cell::new(false),
             stopping: Cell::new(false),
             pool: Pool::new(most_clients + OWN_SOCKETS),
             connect_timeout: Duration::from_micros(config.connect_timeout.0),
@@ -277,6 +280,10 @@
             tokio::time::sleep(LOOK_EVERY).await;
         }
         timer.abort();
+        // Whoever still holds a handle must not hold the sockets: another process may want the addresses.
+        self.0.ended.set(true);
+        let mut state = self.0.state.borrow_mut();
+        (state.callers_socket, state.servers_socket, state.peer_socket) = (None, None, None);
     }
 
     /// Whether no call is owed an answer and all answers are written.
@@ -374,7 +381,7 @@
         if after != before {
             self.0.rearm.notify_one();
         }
-        for (link, dial) in todo.links {
+        for (link, dial) in todo.links.into_iter().filter(|_| !self.0.ended.get()) {
             spawn_local(self.clone().link(link, dial));
         }
     }
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -88,6 +88,12 @@
         let status = desk.says(&["status"]);
         status.contains("desks  stopped") && status.contains("judges  waiting")
     });
+    // Its addresses are free again, though the agent lives on.
+    let status: serde_json::Value =
+        serde_json::from_str(&desk.says(&["status", "desks", "--json"])).expect("JSON");
+    let at = |key: &str| status["instances"][0][key].as_str().expect("an address").to_owned();
+    std::net::UdpSocket::bind(at("iax2")).expect("free");
+    std::net::TcpListener::bind(at("listen")).expect("free");
     desk.says(&["stop"]);
     let agent = desk.agent.take().expect("started").wait_with_output().expect("it ends");
     assert!(agent.status.success(), "{agent:?}");
