Reread the configuration on SIGHUP; a reset connection is no death of its server

Checked: cli.rs listened for SIGTERM and SIGINT only, so SIGHUP had its default effect.

Changed: the directories are followed by a task that a reload points elsewhere; the bulletin's numbers carry on. Limits, peers, known events and settings follow the file, addresses listened at stay and are named. A bad file is reported and counted. A death is now told by a refused connection, which is tried 100 ms after the last one ended.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,12 +4,12 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::LocalSet;
 
-use crate::config::{self, ConfigError};
+use crate::config::{self, ConfigError, InstanceConfig};
 use crate::control::{self, Command, Reply, Request};
-use crate::instance::Bound;
+use crate::instance::{Bound, Instance};
 
 /// Exit code where the program could not do its work.
 const FAILED: u8 = 1;
@@ -105,14 +105,64 @@
     }
 }
 
+/// SIGHUP: a new configuration. It is listened for from the first moment on, or it would end the program.
+struct Reloads(Option<Signal>);
+
+impl Reloads {
+    fn new() -> Reloads {
+        Reloads(signal(SignalKind::hangup()).ok())
+    }
+    async fn next(&mut self) {
+        match &mut self.0 {
+            Some(signal) => {
+                signal.recv().await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// Does `reload` each time that SIGHUP comes; never returns.
+async fn on_reload(mut reloads: Reloads, reload: impl Fn()) {
+    loop {
+        reloads.next().await;
+        reload();
+    }
+}
+
+fn platform_config() -> Result<InstanceConfig, ConfigError> {
+    config::from_platform(|name| std::env::var(name).ok())
+}
+
+/// Rereads the platform's configuration; a bad one is reported and the old one kept.
+fn reload_platform(instance: &Instance) {
+    match platform_config() {
+        Ok(config) => {
+            let kept = instance.reload(config);
+            if !kept.is_empty() {
+                eprintln!("lockpoint: only a restart can change {}", kept.join(", "));
+            }
+        }
+        Err(error) => {
+            instance.reload_failed();
+            eprintln!("lockpoint: not reloaded: {}", error.to_string().replace('\n', " "));
+        }
+    }
+}
+
 async fn platform() -> ExitCode {
-    let config = match config::from_platform(|name| std::env::var(name).ok()) {
+    let reloads = Reloads::new();
+    let config = match platform_config() {
         Ok(config) => config,
         Err(error) => return complain(BAD_CONFIG, &error.to_string()),
     };
     match Bound::open(config).await {
         Ok(bound) => {
-            let counters = bound.run(told_to_stop()).await;
+            let instance = bound.handle();
+            let counters = tokio::select! {
+                counters = bound.run(told_to_stop()) => counters,
+                () = on_reload(reloads, || reload_platform(&instance)) => instance.counters(),
+            };
             eprintln!("{}", counters.line());
             ExitCode::SUCCESS
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -202,6 +202,18 @@
         wires
     }
 
+    /// Takes over settings that were read anew. `false`: the classes differ, which calls that are open know by their
+    /// place, so all settings stay as they were.
+    pub fn reconfigure(&mut self, config: CoreConfig) -> bool {
+        if config.classes != self.config.classes {
+            return false;
+        }
+        self.module.reconfigure(config.settings.clone());
+        // The seed is one start's: the module's random numbers carry on.
+        self.config = CoreConfig { seed: self.config.seed, ..config };
+        true
+    }
+
     /// Whether a list of call servers is held: the test that the front makes passes.
     pub fn ready(&self) -> bool {
         self.list_held
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -39,6 +39,8 @@
     pub iax2_malformed: u64,
     pub mail: u64,
     pub lost_connections: u64,
+    pub reloads: u64,
+    pub reload_failures: u64,
     pub panics: u64,
 }
 
--- a/src/directory/bulletin.rs
+++ b/src/directory/bulletin.rs
@@ -184,16 +184,16 @@
     }
 }
 
-/// Follows the bulletin for good: `take` gets each page as it comes, `failed` each failure.
+/// Follows the bulletin for good: `take` gets each page as it comes and moves `after` on, `failed` gets each failure.
 pub async fn follow(
     address: SocketAddr,
-    mut after: u64,
-    zones: Vec<String>,
+    after: &std::cell::Cell<u64>,
+    zones: &[String],
     mut take: impl FnMut(Page),
     mut failed: impl FnMut(BulletinError),
 ) {
     loop {
-        if let Err(error) = session(address, &mut after, &zones, &mut take).await {
+        if let Err(error) = session(address, after, zones, &mut take).await {
             failed(error);
         }
         tokio::time::sleep(AGAIN).await;
@@ -202,7 +202,7 @@
 
 async fn session(
     address: SocketAddr,
-    after: &mut u64,
+    after: &std::cell::Cell<u64>,
     zones: &[String],
     take: &mut impl FnMut(Page),
 ) -> Result<(), BulletinError> {
@@ -213,7 +213,8 @@
     let mut bytes: Vec<u8> = Vec::new();
     loop {
         let ask = format!(
-            "GET /bulletins?after={after}&patience={PATIENCE_MS} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n"
+            "GET /bulletins?after={}&patience={PATIENCE_MS} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n",
+            after.get()
         );
         stream.write_all(ask.as_bytes()).await.map_err(broken)?;
         let mut ended = false;
@@ -231,10 +232,7 @@
             let read = timeout(DEAD_AFTER, stream.read_buf(&mut bytes)).await;
             ended = read.map_err(late)?.map_err(broken)? == 0;
         };
-        let mut page = parse_page(&body, zones)?;
-        page.changes.retain(|change| change.no > *after);
-        *after = page.no.max(*after);
-        take(page);
+        take(parse_page(&body, zones)?);
         if ended {
             return Ok(());
         }
--- a/src/front/iax2/mod.rs
+++ b/src/front/iax2/mod.rs
@@ -66,6 +66,11 @@
         Self { legs: Legs::default(), of_client: BTreeMap::new(), next: 0, usual, counts }
     }
 
+    /// From now on a caller who does not say so waits this long.
+    pub fn reconfigure(&mut self, left: Span) {
+        self.usual.left = left;
+    }
+
     /// How many legs have a call that is not over.
     pub fn live(&self) -> usize {
         self.of_client.len()
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -1,5 +1,8 @@
 //! One controller at work: its core, its wires and its sockets on one current-thread runtime.
 
+mod follow;
+mod reload;
+
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
@@ -8,15 +11,13 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 
-use crate::config::InstanceConfig;
+use crate::config::{Iax2Config, InstanceConfig};
 use crate::core::CAUSE_CLEARED;
-use crate::core::{Client, Core, Effect, FrontKind, HostLine, Input, Protocol, Source, WirePart};
+use crate::core::{Client, Core, Effect, FrontKind, HostLine, Input, Protocol, WirePart};
 use crate::counters::Counters;
-use crate::directory::bulletin::{self, Page};
-use crate::directory::dns_sd;
 use crate::front::iax2::{Callers, Usual};
 use crate::front::jsonl::{self, Clients, Line, LineError};
 use crate::iax2::frame::LONGEST as LONGEST_FRAME;
@@ -30,6 +31,7 @@
 use crate::upstream::sip::message::{parse, SipError};
 use crate::upstream::sip::{LinkEnd, Trunks};
 use crate::upstream::Todo;
+use follow::Followed;
 
 /// After a request to stop, new connections are taken for so long: the front notices only then.
 const STILL_ACCEPTS: Duration = Duration::from_millis(650);
@@ -102,10 +104,25 @@
     dns_failures: u64,
     mail: u64,
     lost: u64,
+    reloads: u64,
+    reload_failures: u64,
 }
 
-struct Shared {
+/// What a controller is bound to until it ends.
+#[derive(Debug)]
+struct BoundTo {
     name: String,
+    listen: Option<SocketAddr>,
+    peer_listen: Option<SocketAddr>,
+    iax2: Option<Iax2Config>,
+}
+
+struct Shared {
+    bound_to: BoundTo,
+    /// The directories to follow; a reload names others.
+    followed: watch::Sender<Followed>,
+    /// The bulletin's last event that was taken.
+    after: Cell<u64>,
     clock: Clock,
     state: RefCell<State>,
     /// The earliest deadline has changed.
@@ -171,7 +188,14 @@
         };
         let most_clients = config.sockets.saturating_sub(OWN_SOCKETS).max(8);
         let shared = Shared {
-            name: config.name.clone(),
+            bound_to: BoundTo {
+                name: config.name.clone(),
+                listen: config.listen,
+                peer_listen: config.peer_listen,
+                iax2: config.iax2.clone(),
+            },
+            followed: watch::Sender::new(Followed::of(&config)),
+            after: Cell::new(0),
             clock: Clock::new(),
             state: RefCell::new(state),
             rearm: Notify::new(),
@@ -226,31 +250,10 @@
         listener: Option<TcpListener>,
         stop: impl std::future::Future<Output = ()>,
     ) {
-        let known = config.known.clone();
-        let after = known.no;
-        self.page(known);
+        self.page(config.known.clone());
         let timer = spawn_local(self.clone().keep_time());
         let acceptor = listener.map(|listener| spawn_local(self.clone().accept(listener)));
-        if let Some(address) = config.bulletin {
-            let (taker, failer) = (self.clone(), self.clone());
-            let zones = config.zones.clone();
-            spawn_local(async move {
-                let failed = |_| failer.0.state.borrow_mut().tally.bulletin_failures += 1;
-                bulletin::follow(address, after, zones, |page| taker.page(page), failed).await;
-            });
-        }
-        if let Some(dns) = config.dns_sd.clone() {
-            let (taker, failer) = (self.clone(), self.clone());
-            let zones = config.zones.clone();
-            spawn_local(async move {
-                let failed = |_| failer.0.state.borrow_mut().tally.dns_failures += 1;
-                let take = |hosts| {
-                    let list = Input::List { source: Source::DnsSd, whole: true, hosts };
-                    taker.guarded(|_, todo| todo.inputs.push(list));
-                };
-                dns_sd::follow(dns.resolver, dns.service, zones, take, failed).await;
-            });
-        }
+        spawn_local(self.clone().follow(self.0.followed.subscribe()));
         let (callers, servers) = {
             let state = self.0.state.borrow();
             (state.callers_socket.clone(), state.servers_socket.clone())
@@ -297,7 +300,7 @@
 
     /// Its name.
     pub fn name(&self) -> &str {
-        &self.0.name
+        &self.0.bound_to.name
     }
 
     /// Whether a list of call servers is held.
@@ -320,7 +323,7 @@
         let state = self.0.state.borrow();
         let (core, sip, tally) = (state.core.counts(), state.sip.counts, &state.tally);
         Counters {
-            name: self.0.name.clone(),
+            name: self.0.bound_to.name.clone(),
             open: state.core.open_calls(),
             standing: state.core.standing_calls(),
             clients: state.clients.len(),
@@ -353,6 +356,8 @@
             iax2_malformed: state.callers.counts.malformed + state.servers.counts.malformed,
             mail: tally.mail,
             lost_connections: tally.lost,
+            reloads: tally.reloads,
+            reload_failures: tally.reload_failures,
             panics: self.0.panics.get(),
         }
     }
@@ -386,18 +391,6 @@
         }
     }
 
-    fn page(&self, page: Page) {
-        self.guarded(|state, todo| {
-            state.tally.bulletin += page.malformed;
-            let news = page.changes.into_iter().map(|change| Input::List {
-                source: Source::Bulletin,
-                whole: change.whole,
-                hosts: change.hosts,
-            });
-            todo.inputs.extend(news);
-        });
-    }
-
     /// Sweeps the deadlines when the earliest falls due.
     async fn keep_time(self) {
         loop {
--- /dev/null
+++ b/src/instance/follow.rs
@@ -0,0 +1,77 @@
+//! Following the directories: which call servers there are. What is followed changes when the configuration does;
+//! what has been told so far stays.
+
+use std::net::SocketAddr;
+
+use tokio::sync::watch;
+
+use crate::config::{DnsSdConfig, InstanceConfig};
+use crate::core::{Input, Source};
+use crate::directory::bulletin::{self, Page};
+use crate::directory::dns_sd;
+use crate::instance::Instance;
+
+/// What is followed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Followed {
+    /// The bulletin.
+    pub(super) bulletin: Option<SocketAddr>,
+    /// DNS-SD records.
+    pub(super) dns_sd: Option<DnsSdConfig>,
+    /// Names of the zones, by which both tell where a call server stands.
+    pub(super) zones: Vec<String>,
+}
+
+impl Followed {
+    pub(super) fn of(config: &InstanceConfig) -> Followed {
+        let InstanceConfig { bulletin, dns_sd, zones, .. } = config;
+        Followed { bulletin: *bulletin, dns_sd: dns_sd.clone(), zones: zones.clone() }
+    }
+}
+
+impl Instance {
+    /// Follows the directories for good, those named last. Guards against news lost between two bulletins: the
+    /// numbers carry on, so the next one is asked for what came after the last event taken.
+    pub(super) async fn follow(self, mut followed: watch::Receiver<Followed>) {
+        loop {
+            let now = followed.borrow_and_update().clone();
+            tokio::select! {
+                _ = self.follow_bulletin(&now) => {}
+                _ = self.follow_dns_sd(&now) => {}
+                changed = followed.changed() => if changed.is_err() { return },
+            }
+        }
+    }
+
+    async fn follow_bulletin(&self, followed: &Followed) {
+        let Some(address) = followed.bulletin else { return std::future::pending().await };
+        let failed = |_| self.0.state.borrow_mut().tally.bulletin_failures += 1;
+        bulletin::follow(address, &self.0.after, &followed.zones, |page| self.page(page), failed).await;
+    }
+
+    async fn follow_dns_sd(&self, followed: &Followed) {
+        let Some(dns) = &followed.dns_sd else { return std::future::pending().await };
+        let failed = |_| self.0.state.borrow_mut().tally.dns_failures += 1;
+        let take = |hosts| {
+            let list = Input::List { source: Source::DnsSd, whole: true, hosts };
+            self.guarded(|_, todo| todo.inputs.push(list));
+        };
+        dns_sd::follow(dns.resolver, dns.service.clone(), followed.zones.clone(), take, failed).await;
+    }
+
+    /// Takes what a page of the bulletin tells beyond the last event taken.
+    pub(super) fn page(&self, mut page: Page) {
+        let after = self.0.after.get();
+        page.changes.retain(|change| change.no > after);
+        self.0.after.set(page.no.max(after));
+        self.guarded(|state, todo| {
+            state.tally.bulletin += page.malformed;
+            let news = page.changes.into_iter().map(|change| Input::List {
+                source: Source::Bulletin,
+                whole: change.whole,
+                hosts: change.hosts,
+            });
+            todo.inputs.extend(news);
+        });
+    }
+}
--- /dev/null
+++ b/src/instance/reload.rs
@@ -0,0 +1,47 @@
+//! A new configuration for a controller at work: what can change does so at once, no call and no count is lost.
+
+use crate::config::InstanceConfig;
+use crate::instance::follow::Followed;
+use crate::instance::Instance;
+
+impl Instance {
+    /// Takes over a configuration that was read anew: the bulletin and DNS-SD to follow, what is known, peers, limits
+    /// and settings. Returns the keys that only a restart can change and that stay as they were.
+    pub fn reload(&self, config: InstanceConfig) -> Vec<&'static str> {
+        let mut kept = Vec::new();
+        {
+            let mut state = self.0.state.borrow_mut();
+            let running = &self.0.bound_to;
+            let checks = [
+                ("name", running.name == config.name),
+                ("listen", running.listen == config.listen),
+                ("peer_listen", running.peer_listen == config.peer_listen),
+                (
+                    "iax2.listen",
+                    running.iax2.as_ref().map(|i| i.listen) == config.iax2.as_ref().map(|i| i.listen),
+                ),
+                ("iax2.from", running.iax2.as_ref().map(|i| i.from) == config.iax2.as_ref().map(|i| i.from)),
+                ("settings.classes", state.core.reconfigure(config.core.clone())),
+            ];
+            kept.extend(checks.into_iter().filter(|(_, same)| !same).map(|(key, _)| key));
+            state.peers = config.peers.clone();
+            state.callers.reconfigure(config.usual_left);
+            state.tally.reloads += 1;
+        }
+        // News that the file holds beyond what was told so far comes first: the numbers carry on.
+        let known = config.known.clone();
+        self.page(known);
+        self.0.followed.send_if_modified(|followed| {
+            let next = Followed::of(&config);
+            let changed = *followed != next;
+            *followed = next;
+            changed
+        });
+        kept
+    }
+
+    /// A configuration that was read anew and cannot be used: the old one stays.
+    pub fn reload_failed(&self) {
+        self.0.state.borrow_mut().tally.reload_failures += 1;
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -253,6 +253,12 @@
         }
     }
 
+    /// From now on decides by these settings; what was seen so far stays. The classes keep their places.
+    pub fn reconfigure(&mut self, settings: Settings) {
+        self.shortest_aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or_default();
+        self.settings = settings;
+    }
+
     /// Takes one event and appends what is to be done, in order. A clock that steps back stands still.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -24,9 +24,6 @@
 const SUSPECT: Span = Span::from_millis(700);
 /// First and longest wait before a connection is tried again.
 const AGAIN: (Span, Span) = (Span::from_millis(100), Span::from_millis(1_000));
-/// A process whose connections are reset within this time of its last word has died; one that was silent for longer
-/// comes back from a silence and may still hold its calls. Guards against calls that stand cut at a mere return.
-const LATELY: Span = Span::from_millis(2_000);
 /// After so long without a word, a call server with calls is offered another connection, on which it must speak.
 const ASK_AFTER: Span = Span::from_millis(3_000);
 /// After so long without a word its calls are released. Guards against calls that end unheard at a machine that has
@@ -318,9 +315,10 @@
         let none_up = trunk.links.values().all(|l| l.up.is_none() || l.asked.is_some());
         let dead = match how {
             LinkEnd::Refused => true,
-            LinkEnd::Ended(End::Reset) => now.since(trunk.heard) < LATELY,
-            // One that has left the list and closes its last connection has nothing more to say.
-            LinkEnd::Ended(End::Closed) => !trunk.wanted,
+            // Guards against calls that stand cut at a mere reset: any connection may be reset on its way. A process
+            // that has died refuses the next one, which is made for that at once.
+            // One that has left the list and whose last connection ends has nothing more to say.
+            LinkEnd::Ended(End::Closed | End::Reset) => !trunk.wanted,
             LinkEnd::Ended(_) | LinkEnd::NotMade => false,
         };
         if dead && none_up {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -157,6 +157,24 @@
     });
 }
 
+/// Guards against calls that are released while they stand because a connection of their server was reset.
+#[test]
+fn a_reset_connection_costs_no_call_that_stands() {
+    on_one_thread(async {
+        let world = World::default();
+        let (controller, servers, _) = Controller::with_servers(&world, &[answers("a")]).await;
+        let caller = Caller::connect(&world, "c", controller.at).await;
+        caller.open(&name(1), 2_000, 0, "x").await;
+        world.answer(&name(1)).await;
+        let before = controller.instance.counters().connected;
+        servers[0].reset();
+        controller.turns("a connection is there anew", |i| i.counters().connected > before).await;
+        assert_eq!(controller.instance.counters().standing, 1);
+        servers[0].release(&name(1), 16);
+        world.until("the release", is(&name(1), What::Close(16, None))).await;
+    });
+}
+
 #[test]
 fn a_release_of_a_call_set_up_before_a_restart_is_passed_on() {
     on_one_thread(async {
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,112 @@
+//! A new configuration under load, on real sockets and with the real program.
+
+mod support;
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+use serde_json::{json, Value};
+use support::{
+    host, name, on_one_thread, settings, Bulletin, Caller, Controller, Does, SipServer, What, World,
+};
+
+fn answers(text: &str) -> Does {
+    Does::Answer(text.to_owned())
+}
+
+/// Guards against news lost between two bulletins, and against calls or counts lost by a reload.
+#[test]
+fn a_reload_moves_to_the_new_bulletin_and_loses_no_call_and_no_count() {
+    on_one_thread(async {
+        let world = World::default();
+        let (controller, servers, old) = Controller::with_servers(&world, &[answers("a")]).await;
+        let other = SipServer::start(&world, "s1", answers("b")).await;
+        let caller = Caller::connect(&world, "c", controller.at).await;
+        caller.open(&name(1), 2_000, 0, "x").await;
+        world.answer(&name(1)).await;
+        // The new one carries the numbers on: it has the old events and one that the old one never told.
+        let next = Bulletin::start(&world).await;
+        next.tell(true, vec![host("s0", servers[0].at, 0, "ready")]);
+        next.tell(false, vec![host("s0", servers[0].at, 0, "gone"), host("s1", other.at, 1, "ready")]);
+        assert!(controller.instance.reload(support::config(next.at)).is_empty());
+        controller.turns("the new list", |i| i.servers().iter().any(|line| line.host == "s1")).await;
+        // What the old one tells from now on is no news.
+        old.tell(false, vec![host("s1", other.at, 1, "gone")]);
+        caller.open(&name(2), 2_000, 1, "x").await;
+        assert_eq!(world.answer(&name(2)).await.what, What::Ready("b".into()));
+        servers[0].release(&name(1), 16);
+        let released = |seen: &support::Seen| seen.sid == name(1) && seen.what == What::Close(16, None);
+        world.until("the release of the call that stood before", released).await;
+        let c = controller.instance.counters();
+        assert_eq!((c.taken, c.answered, c.clients, c.reloads), (2, 2, 1, 1));
+    });
+}
+
+/// What a reload cannot change stays, and is named.
+#[test]
+fn a_reload_names_what_only_a_restart_can_change() {
+    on_one_thread(async {
+        let world = World::default();
+        let (controller, _servers, bulletin) = Controller::with_servers(&world, &[answers("a")]).await;
+        let mut config = support::config(bulletin.at);
+        config.listen = Some("127.0.0.1:9".parse().expect("an address"));
+        config.core.classes.push("another".into());
+        assert_eq!(controller.instance.reload(config), ["listen", "settings.classes"]);
+        let caller = Caller::connect(&world, "c", controller.at).await;
+        caller.open(&name(1), 2_000, 0, "x").await;
+        assert_eq!(world.answer(&name(1)).await.what, What::Ready("a".into()));
+    });
+}
+
+/// The program itself, gone with the test.
+struct Program(Child);
+
+impl Program {
+    fn signal(&self, which: &str) {
+        let kill = Command::new("kill").args([which, &self.0.id().to_string()]).status();
+        assert!(kill.expect("it runs").success());
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn write(file: &Path, bulletin: &TcpListener) {
+    let at = bulletin.local_addr().expect("an address").to_string();
+    let text: Value = json!({"name": "n1", "listen": "127.0.0.1:0", "bulletin": at, "settings": settings(1)});
+    std::fs::write(file, text.to_string()).expect("written");
+}
+
+/// Guards against a program that ends on SIGHUP, and against a bad file taking the place of a good one.
+#[test]
+fn sighup_rereads_the_file_and_a_bad_one_is_reported_and_the_old_one_kept() {
+    let file = std::env::temp_dir().join(format!("lockpoint-reload-{}.json", std::process::id()));
+    let bulletin = || TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (first, second) = (bulletin(), bulletin());
+    write(&file, &first);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lockpoint"));
+    command.env("ROUTER_CONFIG", &file).env_remove("ROUTER_LISTEN").env_remove("ROUTER_NAME");
+    let mut program = Program(command.stderr(Stdio::piped()).spawn().expect("it starts"));
+    let mut log = BufReader::new(program.0.stderr.take().expect("its log"));
+    first.accept().expect("the first bulletin is followed");
+    write(&file, &second);
+    program.signal("-HUP");
+    second.accept().expect("the second bulletin is followed");
+    std::fs::write(&file, "{\"listen\":5}").expect("written");
+    program.signal("-HUP");
+    let mut line = String::new();
+    log.read_line(&mut line).expect("a line");
+    assert!(line.starts_with("lockpoint: not reloaded: ") && line.contains("'listen'"), "{line}");
+    program.signal("-TERM");
+    let mut rest = String::new();
+    log.read_to_string(&mut rest).expect("its log");
+    assert!(rest.contains(" reloads=1 reload_failures=1 "), "{rest}");
+    assert_eq!(program.0.wait().expect("it ends").code(), Some(0));
+    let _ = std::fs::remove_file(&file);
+}
