--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,6 +5,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::Notify;
 use tokio::task::LocalSet;
 
 use crate::config::{self, ConfigError, InstanceConfig};
@@ -47,6 +48,8 @@
     Status(Ask),
     /// The agent's counters.
     Stats(Ask),
+    /// Let the agent reread its file, as SIGHUP does.
+    Reload(Ask),
     /// Let instances finish what they took and end; the agent stays.
     Drain(Ask),
     /// The same; without an instance named, the agent ends too.
@@ -84,6 +87,7 @@
         Some(Commands::Check { file, json }) => check(&file, json),
         Some(Commands::Status(ask)) => runtime.block_on(put(Command::Status, ask)),
         Some(Commands::Stats(ask)) => runtime.block_on(put(Command::Stats, ask)),
+        Some(Commands::Reload(ask)) => runtime.block_on(put(Command::Reload, ask)),
         Some(Commands::Drain(ask)) => runtime.block_on(put(Command::Drain, ask)),
         Some(Commands::Stop(ask)) => runtime.block_on(put(Command::Stop, ask)),
     }
@@ -171,11 +175,18 @@
 }
 
 async fn agent(file: PathBuf) -> ExitCode {
+    let reloads = Reloads::new();
     let config = match config::from_file(&file) {
         Ok(config) => config,
         Err(error) => return complain(BAD_CONFIG, &error.to_string()),
     };
-    match control::run(config, told_to_stop(), |line| eprintln!("{line}")).await {
+    let reload = Notify::new();
+    let running = control::run(file, config, told_to_stop(), &reload, |line| eprintln!("{line}"));
+    let ended = tokio::select! {
+        ended = running => ended,
+        () = on_reload(reloads, || reload.notify_one()) => Ok(()),
+    };
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => complain(BAD_CONFIG, &error.to_string()),
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -189,6 +189,10 @@
 }
 
 impl Limits {
+    /// Connections to call servers beyond one for each.
+    pub fn links(&self) -> usize {
+        (self.sockets - self.callers().min(self.sockets)) / 2
+    }
     /// Callers' connections; the rest is for call servers, directories and the program itself.
     pub fn callers(&self) -> usize {
         self.sockets.saturating_sub((self.sockets / 4).clamp(8, 128)).max(8)
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,6 @@
 //! The agent's control socket: one JSON request a line in, one JSON answer a line out.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
@@ -13,7 +13,7 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
-use crate::config::OperatorConfig;
+use crate::config::{self, OperatorConfig};
 use crate::counters::Counters;
 use crate::instance::{Bound, Instance, StartError};
 use crate::interface::ServerState;
@@ -31,6 +31,8 @@
     Status,
     /// Their counters.
     Stats,
+    /// Reread the operator's file: instances listed in it are told of it, new ones start, others finish and end.
+    Reload,
     /// Finish what was taken and end; the agent stays.
     Drain,
     /// The same, and without an instance named the agent ends too.
@@ -72,7 +74,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "answer", rename_all = "lowercase")]
 pub enum Reply {
-    /// To `status`, `drain` and `stop`.
+    /// To `status`, `reload`, `drain` and `stop`.
     Status {
         /// The instances asked for.
         instances: Vec<InstanceStatus>,
@@ -132,20 +134,25 @@
     iax2: Option<String>,
     instance: Instance,
     stop: Rc<Notify>,
-    done: bool,
+    done: Rc<Cell<bool>>,
 }
 
-struct Agent {
+struct Agent<L> {
+    file: PathBuf,
+    control: PathBuf,
+    log: L,
     running: RefCell<Vec<Running>>,
     changed: Notify,
     end: RefCell<bool>,
 }
 
-/// Runs the instances of a file, each its own controller, until they are all told to stop. To be called within a
-/// `LocalSet`.
+/// Runs the instances of a file, each its own controller, until they are all told to stop; rereads the file each time
+/// that `reload` is notified. To be called within a `LocalSet`.
 pub async fn run(
+    file: PathBuf,
     config: OperatorConfig,
     stop: impl std::future::Future<Output = ()>,
+    reload: &Notify,
     log: impl Fn(&str) + Clone + 'static,
 ) -> Result<(), AgentError> {
     let mut bounds = Vec::new();
@@ -154,28 +161,16 @@
         bounds.push(Bound::open(instance).await.map_err(|why| AgentError::Start { name, why })?);
     }
     let listener = listen(&config.control).await?;
-    let agent =
-        Rc::new(Agent { running: RefCell::default(), changed: Notify::new(), end: RefCell::new(false) });
-    for (at, bound) in bounds.into_iter().enumerate() {
-        let stop = Rc::new(Notify::new());
-        let text = |address: Option<std::net::SocketAddr>| address.map(|a| a.to_string());
-        agent.running.borrow_mut().push(Running {
-            name: bound.handle().name().to_owned(),
-            listen: text(bound.listens_at()),
-            iax2: text(bound.iax2_at()),
-            instance: bound.handle(),
-            stop: stop.clone(),
-            done: false,
-        });
-        let (agent, log) = (agent.clone(), log.clone());
-        spawn_local(async move {
-            let counters = bound.run(async move { stop.notified().await }).await;
-            log(&counters.line());
-            if let Some(running) = agent.running.borrow_mut().get_mut(at) {
-                running.done = true;
-            }
-            agent.changed.notify_one();
-        });
+    let agent = Rc::new(Agent {
+        file,
+        control: config.control,
+        log,
+        running: RefCell::default(),
+        changed: Notify::new(),
+        end: RefCell::new(false),
+    });
+    for bound in bounds {
+        agent.start(bound);
     }
     let serving = spawn_local(serve(agent.clone(), listener));
     tokio::pin!(stop);
@@ -187,14 +182,16 @@
                 agent.ask_to_stop(None);
                 *agent.end.borrow_mut() = true;
             }
+            // What is wrong with the file is in the log.
+            _ = reload.notified(), if !asked => drop(agent.reload().await),
             _ = agent.changed.notified() => {}
         }
-        if *agent.end.borrow() && agent.running.borrow().iter().all(|running| running.done) {
+        if *agent.end.borrow() && agent.running.borrow().iter().all(|running| running.done.get()) {
             break;
         }
     }
     serving.abort();
-    let _ = std::fs::remove_file(&config.control);
+    let _ = std::fs::remove_file(&agent.control);
     Ok(())
 }
 
@@ -216,7 +213,7 @@
     Ok(listener)
 }
 
-async fn serve(agent: Rc<Agent>, listener: UnixListener) {
+async fn serve<L: Fn(&str) + Clone + 'static>(agent: Rc<Agent<L>>, listener: UnixListener) {
     loop {
         if let Ok((stream, _)) = listener.accept().await {
             let agent = agent.clone();
@@ -227,12 +224,15 @@
     }
 }
 
-async fn answer(agent: Rc<Agent>, mut stream: UnixStream) -> io::Result<()> {
+async fn answer<L: Fn(&str) + Clone + 'static>(
+    agent: Rc<Agent<L>>,
+    mut stream: UnixStream,
+) -> io::Result<()> {
     let (reader, mut writer) = stream.split();
     let mut line = String::new();
     BufReader::new(reader.take(LONGEST)).read_line(&mut line).await?;
     let reply = match serde_json::from_str::<Request>(&line) {
-        Ok(request) => agent.answer(&request),
+        Ok(request) => agent.answer(&request).await,
         Err(error) => Reply::Error { why: format!("the request cannot be read: {error}") },
     };
     let mut text = serde_json::to_string(&reply).unwrap_or_default();
@@ -241,8 +241,83 @@
     writer.shutdown().await
 }
 
-impl Agent {
-    fn answer(&self, request: &Request) -> Reply {
+impl<L: Fn(&str) + Clone + 'static> Agent<L> {
+    fn start(self: &Rc<Self>, bound: Bound) {
+        let (stop, done) = (Rc::new(Notify::new()), Rc::new(Cell::new(false)));
+        let text = |address: Option<std::net::SocketAddr>| address.map(|a| a.to_string());
+        let running = Running {
+            name: bound.handle().name().to_owned(),
+            listen: text(bound.listens_at()),
+            iax2: text(bound.iax2_at()),
+            instance: bound.handle(),
+            stop: stop.clone(),
+            done: done.clone(),
+        };
+        // One that has ended and is listed again takes its old place.
+        let mut all = self.running.borrow_mut();
+        all.retain(|other| other.name != running.name);
+        all.push(running);
+        let agent = self.clone();
+        spawn_local(async move {
+            let counters = bound.run(async move { stop.notified().await }).await;
+            (agent.log)(&counters.line());
+            done.set(true);
+            agent.changed.notify_one();
+        });
+    }
+
+    /// Rereads the operator's file. Guards against a bad file that takes the place of a good one: nothing changes then.
+    async fn reload(self: &Rc<Self>) -> Result<(), String> {
+        let config = match config::from_file(&self.file) {
+            Ok(config) => config,
+            Err(error) => {
+                let why = error.to_string().replace('\n', " ");
+                self.running.borrow().iter().for_each(|r| r.instance.reload_failed());
+                (self.log)(&format!("lockpoint: not reloaded: {why}"));
+                return Err(why);
+            }
+        };
+        if config.control != self.control {
+            (self.log)("lockpoint: only a restart can change control");
+        }
+        let unlisted = |r: &&Running| !config.instances.iter().any(|listed| listed.name == r.name);
+        for running in self.running.borrow().iter().filter(unlisted) {
+            running.instance.begin_stop();
+            running.stop.notify_one();
+        }
+        let mut faults = Vec::new();
+        for listed in config.instances {
+            let name = listed.name.clone();
+            let at_work = {
+                let all = self.running.borrow();
+                let found = all.iter().find(|r| r.name == name && !r.done.get());
+                found.map(|r| r.instance.clone())
+            };
+            match at_work {
+                Some(instance) => {
+                    let kept = instance.reload(listed);
+                    if !kept.is_empty() {
+                        let keys = kept.join(", ");
+                        (self.log)(&format!(
+                            "lockpoint: instance '{name}': only a restart can change {keys}"
+                        ));
+                    }
+                }
+                None => match Bound::open(listed).await {
+                    Ok(bound) => self.start(bound),
+                    Err(why) => faults.push(AgentError::Start { name, why }.to_string()),
+                },
+            }
+        }
+        if faults.is_empty() {
+            return Ok(());
+        }
+        let why = faults.join("; ");
+        (self.log)(&format!("lockpoint: {why}"));
+        Err(why)
+    }
+
+    async fn answer(self: &Rc<Self>, request: &Request) -> Reply {
         let wanted = request.instance.as_deref();
         if let Some(name) = wanted {
             if !self.running.borrow().iter().any(|running| running.name == name) {
@@ -257,6 +332,13 @@
                 let counters = asked.map(|r| serde_json::to_value(r.instance.counters()).unwrap_or_default());
                 Reply::Stats { instances: counters.collect() }
             }
+            Command::Reload if wanted.is_some() => {
+                Reply::Error { why: "the file is reread for all instances or none".to_owned() }
+            }
+            Command::Reload => match self.reload().await {
+                Ok(()) => Reply::Status { instances: self.status(None) },
+                Err(why) => Reply::Error { why },
+            },
             Command::Drain | Command::Stop => {
                 self.ask_to_stop(wanted);
                 if request.command == Command::Stop && wanted.is_none() {
@@ -278,7 +360,7 @@
     fn status(&self, wanted: Option<&str>) -> Vec<InstanceStatus> {
         let running = self.running.borrow();
         let asked = running.iter().filter(|r| wanted.is_none_or(|name| r.name == name));
-        let state = |r: &Running| match (r.done, r.instance.stopping(), r.instance.ready()) {
+        let state = |r: &Running| match (r.done.get(), r.instance.stopping(), r.instance.ready()) {
             (true, _, _) => "stopped",
             (false, true, _) => "draining",
             (false, false, true) => "serving",
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -67,6 +67,18 @@
         }
         Some(standing)
     }
+    #[cfg(test)]
+    pub(super) fn is_empty(&self) -> bool {
+        let calls = self.standing.is_empty() && self.carried.is_empty();
+        calls
+            && self.ended.is_empty()
+            && self.order.is_empty()
+            && self.unsaid.is_empty()
+            && self.unheard.is_empty()
+    }
+    pub(super) fn any_at(&self, server: ServerId) -> bool {
+        self.standing.values().any(|s| s.server == server)
+    }
     pub(super) fn carries(&self, client: Client) -> bool {
         self.carried.contains_key(&client)
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -36,6 +36,8 @@
     Forget(Sid),
     /// Releases that found no connection have waited long enough.
     Unsaid(Sid),
+    /// A call server that has left the list may be forgotten.
+    Gone(ServerId),
     /// Something of a wire's: its part and a key of its own.
     Wire(WirePart, u64),
 }
@@ -45,6 +47,8 @@
 pub enum WirePart {
     /// A caller's connection that may have stayed for too long.
     Guests,
+    /// A new connection of a SIP call server on which nothing was heard yet.
+    SipFirstWord,
     /// Reconnecting to a SIP call server.
     SipReach,
     /// The silence of a SIP call server that has calls.
@@ -101,6 +105,8 @@
     pub unknown_released: u64,
     /// Answers that came after the attempt was given up.
     pub late_answers: u64,
+    /// Answers under names that nobody asked for.
+    pub unknown_answers: u64,
 }
 
 /// A set-up that is out.
@@ -143,6 +149,7 @@
     names: BTreeMap<CallId, Sid>,
     servers: BTreeMap<ServerId, Listed>,
     hosts: BTreeMap<(Source, String), ServerId>,
+    next_server: u32,
     list_held: bool,
     /// Callers that are there, with the calls that each is owed an answer for.
     clients: BTreeMap<Client, usize>,
@@ -167,6 +174,7 @@
             names: BTreeMap::new(),
             servers: BTreeMap::new(),
             hosts: BTreeMap::new(),
+            next_server: 0,
             list_held: false,
             clients: BTreeMap::new(),
             book: Book::default(),
@@ -204,6 +212,7 @@
                 Due::Attempt(call) => self.attempt_overdue(call, out),
                 Due::Caller(call) => self.caller_gives_up(call, out),
                 Due::Forget(sid) => self.book.forget(sid),
+                Due::Gone(server) => self.forget_server(server, out),
                 Due::Unsaid(sid) => self.book.drop_unsaid(sid),
                 Due::Wire(part, key) => wires.push((part, key)),
             }
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -22,10 +22,14 @@
         match says {
             ServerSays::Answered(body) if is_out => self.stands(sid, body, out),
             ServerSays::Answered(_) => {
-                // The answer crossed our giving it up, or nobody here knows of the call: it must not stay up.
-                if !self.book.stands_at(sid, server) {
-                    self.counts.late_answers += 1;
-                    out.push(Effect::Bye(server, sid, CAUSE_CLEARED));
+                if self.open.contains_key(&sid) || self.book.knows(sid) {
+                    // The answer crossed our giving it up: the call must not stay up there. A second copy is dropped.
+                    if !self.book.stands_at(sid, server) {
+                        self.counts.late_answers += 1;
+                        out.push(Effect::Bye(server, sid, CAUSE_CLEARED));
+                    }
+                } else {
+                    self.counts.unknown_answers += 1;
                 }
             }
             ServerSays::Refused(refusal, cause, report) => {
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -2,9 +2,14 @@
 
 use crate::core::{Core, Due, Effect, HostLine, Listed, Source};
 use crate::interface::{
-    Action, Event, ListKind, LoadReport, Outcome, ServerEntry, ServerId, ServerState, Time,
+    Action, Event, ListKind, LoadReport, Outcome, ServerEntry, ServerId, ServerState, Span, Time,
 };
 
+/// A call server that has left the list is remembered this long, and for as long as calls stand there.
+const GONE: Span = Span::from_millis(20_000);
+/// Call servers known at once at most; memory only.
+const MOST_SERVERS: usize = 1_024;
+
 impl Core {
     /// Hands an event to the module and carries out what follows from it, until nothing more follows.
     pub(super) fn feed(&mut self, event: Event, out: &mut Vec<Effect>) {
@@ -76,14 +81,20 @@
         self.list_held |= !hosts.is_empty();
         let mut entries = Vec::new();
         for line in hosts {
-            let next = ServerId { address: self.hosts.len() as u32 + 1, port: 0 };
-            let server = *self.hosts.entry((source, line.host.clone())).or_insert(next);
+            let Some(server) = self.number_of(source, &line) else { continue };
+            let before = self.servers.get(&server).map(|l| (l.line.born_ms, l.line.dial));
+            if line.state == ServerState::Ready && before.is_none_or(|(_, dial)| dial != line.dial) {
+                entries.extend(self.replaced_by(server, source, &line, out));
+            }
             entries.push(entry_of(server, &line));
-            let before = self.servers.get(&server).map(|l| (l.line.born_ms, l.line.dial, l.line.state));
-            let fresh = before.is_some_and(|(born, dial, _)| born != line.born_ms || dial != line.dial);
+            let fresh = before.is_some_and(|(born, dial)| born != line.born_ms || dial != line.dial);
             let fresh = fresh.then_some(Time(line.born_ms.saturating_mul(1000)));
             let (dial, protocol, state) = (line.dial, line.protocol, line.state);
             self.servers.insert(server, Listed { line, source });
+            match state {
+                ServerState::Gone => self.deadlines.set(self.now.plus(GONE), Due::Gone(server)),
+                ServerState::Ready | ServerState::Draining => self.deadlines.clear(&Due::Gone(server)),
+            }
             match state {
                 ServerState::Ready => out.push(Effect::Reach { server, dial, protocol, fresh }),
                 ServerState::Draining => {
@@ -103,6 +114,67 @@
     }
 }
 
+impl Core {
+    /// The number of the call server of this name. Numbers are never used twice: what is still under way for one that
+    /// has left must not meet another.
+    fn number_of(&mut self, source: Source, line: &HostLine) -> Option<ServerId> {
+        let name = (source, line.host.clone());
+        if let Some(known) = self.hosts.get(&name) {
+            return Some(*known);
+        }
+        // One that has left before it was known is no news.
+        if line.state == ServerState::Gone || self.hosts.len() >= MOST_SERVERS {
+            return None;
+        }
+        self.next_server += 1;
+        let server = ServerId { address: self.next_server, port: 0 };
+        self.hosts.insert(name, server);
+        Some(server)
+    }
+
+    /// Those that had this address before: their processes are gone, whatever the list still says of them. Guards
+    /// against calls left standing at a call server whose place another has taken.
+    fn replaced_by(
+        &mut self,
+        server: ServerId,
+        source: Source,
+        line: &HostLine,
+        out: &mut Vec<Effect>,
+    ) -> Vec<ServerEntry> {
+        let at_once = |l: &Listed| l.source == source && l.line.dial == line.dial;
+        let before = self.servers.iter().filter(|(id, l)| **id != server && at_once(l));
+        let before: Vec<ServerId> = before.map(|(id, _)| *id).collect();
+        let mut entries = Vec::new();
+        for old in before {
+            let Some(listed) = self.servers.get_mut(&old) else { continue };
+            let was = std::mem::replace(&mut listed.line.state, ServerState::Gone);
+            if was != ServerState::Gone {
+                entries.push(entry_of(old, &listed.line));
+                self.deadlines.set(self.now.plus(GONE), Due::Gone(old));
+            }
+            out.push(Effect::Withdraw(old));
+            out.push(Effect::Replaced(old));
+        }
+        entries
+    }
+
+    /// Forgets a call server that has left, unless calls still stand there.
+    pub(super) fn forget_server(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(listed) = self.servers.get(&server) else { return };
+        if listed.line.state != ServerState::Gone {
+            return;
+        }
+        let out_there = self.open.values().any(|open| open.out.is_some_and(|o| o.server == server));
+        if out_there || self.book.any_at(server) {
+            return self.deadlines.set(self.now.plus(GONE), Due::Gone(server));
+        }
+        if let Some(listed) = self.servers.remove(&server) {
+            self.hosts.remove(&(listed.source, listed.line.host));
+        }
+        out.push(Effect::Forget(server));
+    }
+}
+
 fn entry_of(server: ServerId, line: &HostLine) -> ServerEntry {
     ServerEntry {
         server,
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -275,3 +275,90 @@
     assert!(matches!(effects[..], [Effect::Refuse { again: true, wait, .. }] if wait > Span::default()));
     assert_eq!(drive.core.open_calls(), 3);
 }
+
+fn answered(text: &str) -> ServerSays {
+    ServerSays::Answered(text.into())
+}
+
+/// Guards against memory that grows all day: call servers are replaced by new ones throughout it.
+#[test]
+fn of_call_servers_that_have_left_nothing_is_kept() {
+    let mut drive = Drive::new(1);
+    for n in 1..=300_u16 {
+        let (old, new) = (format!("s{}", n - 1), format!("s{n}"));
+        let hosts = vec![line(&old, n - 1, ServerState::Gone, 0), line(&new, n, ServerState::Ready, 0)];
+        drive.input(Input::List { source: Source::Bulletin, whole: false, hosts });
+        drive.pass(1_000);
+        assert!(drive.core.servers.len() <= 22, "{} after {n} s", drive.core.servers.len());
+        assert_eq!(drive.core.servers.len(), drive.core.hosts.len());
+    }
+    let forgotten = drive.pass(30_000).into_iter().filter(|(_, e)| matches!(e, Effect::Forget(_))).count();
+    assert!(forgotten > 0);
+    assert_eq!((drive.core.servers.len(), drive.core.deadlines.len()), (1, 0));
+}
+
+/// Guards against memory that grows all day: callers and calls are always new.
+#[test]
+fn of_callers_and_calls_that_are_over_nothing_is_kept() {
+    let mut drive = Drive::new(1);
+    for n in 0..2_000 {
+        let client = Client { front: FrontKind::JsonLines, no: 10 + n };
+        drive.input(Input::ClientUp(client));
+        // Some are refused by the throttle, some by the call server.
+        match invited(&drive.open(n, 9_000)) {
+            Some(server) if n % 3 == 0 => {
+                drive.says(server, n, full());
+            }
+            Some(server) => {
+                drive.says(server, n, answered("y"));
+                drive.says(server, n, ServerSays::Released(16, Report::new()));
+            }
+            None => {}
+        }
+        drive.input(Input::ClientDown(client));
+        drive.pass(20);
+    }
+    drive.pass(60_000);
+    let book = &drive.core.book;
+    assert!(book.is_empty(), "{book:?}");
+    let core = &drive.core;
+    assert_eq!((core.open.len(), core.names.len(), core.clients.len(), core.deadlines.len()), (0, 0, 1, 0));
+    assert_eq!(core.held_bytes, 0);
+}
+
+/// Guards against calls left standing at a call server whose place another has taken.
+#[test]
+fn a_new_call_server_at_an_old_address_ends_the_calls_of_the_one_that_was_there() {
+    let mut drive = Drive::new(1);
+    let server = invited(&drive.open(1, 9_000)).expect("sent");
+    drive.says(server, 1, answered("y"));
+    let at_old = HostLine { host: "new".into(), ..line("s0", 0, ServerState::Ready, 5) };
+    let news = |hosts| Input::List { source: Source::Bulletin, whole: false, hosts };
+    let effects = drive.input(news(vec![at_old.clone()]));
+    assert!(effects.iter().any(|e| matches!(e, Effect::Replaced(old) if *old == server)), "{effects:?}");
+    let effects = drive.input(Input::Died(server));
+    assert!(matches!(effects[..], [Effect::Release(CLIENT, _, CAUSE_CUT)]), "{effects:?}");
+    // The list's own word of the old one comes late; the new one stays.
+    for state in [ServerState::Draining, ServerState::Gone] {
+        let effects = drive.input(news(vec![line("s0", 0, state, 0)]));
+        assert!(!effects.iter().any(|e| matches!(e, Effect::Replaced(_))), "{effects:?}");
+    }
+    let next = invited(&drive.open(2, 9_000)).expect("sent");
+    assert_ne!(next, server);
+}
+
+/// Guards against calls ended by answers that bring more than belongs to them.
+#[test]
+fn second_copies_and_answers_under_unknown_names_are_dropped() {
+    let mut drive = Drive::new(2);
+    let server = invited(&drive.open(1, 9_000)).expect("sent");
+    assert!(drive.says(server, 77, answered("z")).is_empty());
+    assert_eq!(finals(&drive.says(server, 1, answered("y"))), 1);
+    assert!(drive.says(server, 1, answered("y")).is_empty());
+    assert_eq!((drive.core.standing_calls(), drive.core.counts().unknown_answers), (1, 1));
+    // One that crossed our giving it up must not stay up.
+    let server = invited(&drive.open(2, 9_000)).expect("sent");
+    drive.input(Input::Close(CLIENT, Sid::numbered(2), 16));
+    let effects = drive.says(server, 2, answered("y"));
+    assert!(matches!(effects[..], [Effect::Bye(..)]), "{effects:?}");
+}
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -281,6 +281,10 @@
     Withdraw(ServerId),
     /// Make no more ways to this call server.
     Leave(ServerId),
+    /// Another call server is at its address: its process is gone.
+    Replaced(ServerId),
+    /// It has left for good: keep nothing of it.
+    Forget(ServerId),
     /// Send a datagram to a peer, or to all.
     Tell(Option<u16>, Vec<u8>),
     /// A line for the people on call.
--- a/src/directory/bulletin.rs
+++ b/src/directory/bulletin.rs
@@ -7,19 +7,20 @@
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::core::{HostLine, Protocol};
 use crate::interface::{Cell, ServerState};
 
 /// How long a poll may stay unanswered, in milliseconds. Short, so that a connection that died silently is noticed.
-const PATIENCE_MS: u64 = 2_000;
-/// More than that means that the connection is dead.
-const DEAD_AFTER: Duration = Duration::from_millis(PATIENCE_MS + 1_000);
+const PATIENCE_MS: u64 = 1_000;
+/// An answer must be whole so much after that, and so much after its first byte. Guards against a bulletin that stalls,
+/// and against one that says a little now and then and never comes to an end.
+const WHOLE_WITHIN: Duration = Duration::from_millis(500);
 /// Longest wait for a connection.
 const CONNECT: Duration = Duration::from_millis(500);
-/// Wait after a failure.
-const AGAIN: Duration = Duration::from_millis(50);
+/// Wait after a failure: the first, and the longest.
+const AGAIN: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(250));
 /// The longest answer.
 const LONGEST: usize = 1024 * 1024;
 
@@ -192,11 +193,14 @@
     mut take: impl FnMut(Page),
     mut failed: impl FnMut(BulletinError),
 ) {
+    let mut again = AGAIN.0;
     loop {
+        let before = after.get();
         if let Err(error) = session(address, after, zones, &mut take).await {
             failed(error);
         }
-        tokio::time::sleep(AGAIN).await;
+        tokio::time::sleep(again).await;
+        again = if after.get() > before { AGAIN.0 } else { (again * 2).min(AGAIN.1) };
     }
 }
 
@@ -218,6 +222,7 @@
         );
         stream.write_all(ask.as_bytes()).await.map_err(broken)?;
         let mut ended = false;
+        let mut whole_by = Instant::now() + Duration::from_millis(PATIENCE_MS) + WHOLE_WITHIN;
         let body = loop {
             if let Some((body, used)) = parse_answer(&bytes, ended)? {
                 bytes.drain(..used);
@@ -229,8 +234,12 @@
             if bytes.len() > LONGEST {
                 return Err(BulletinError::Http("too long".to_owned()));
             }
-            let read = timeout(DEAD_AFTER, stream.read_buf(&mut bytes)).await;
+            let first = bytes.is_empty();
+            let read = timeout_at(whole_by, stream.read_buf(&mut bytes)).await;
             ended = read.map_err(late)?.map_err(broken)? == 0;
+            if first {
+                whole_by = whole_by.min(Instant::now() + WHOLE_WITHIN);
+            }
         };
         take(parse_page(&body, zones)?);
         if ended {
--- a/src/front/iax2/mod.rs
+++ b/src/front/iax2/mod.rs
@@ -46,6 +46,8 @@
     pub malformed: u64,
     /// NEWs of calls not known before.
     pub news: u64,
+    /// NEWs for which no leg was left.
+    pub turned_away: u64,
 }
 
 /// All IAX2 callers.
@@ -110,7 +112,11 @@
         let named = new.elements.variable("callid").and_then(|name| Sid::parse(&name));
         let sid = named.unwrap_or_else(|| Sid::numbered(mixed(self.usual.seed.wrapping_add(client))));
         let caller = Caller { client, sid };
-        let Some(no) = self.legs.answer(from, new, caller, now, &mut todo.to_callers) else { return };
+        let Some(no) = self.legs.answer(from, new, caller, now, &mut todo.to_callers) else {
+            // No leg is left for it: it hears so at once, and nothing is kept of it.
+            self.counts.turned_away += 1;
+            return todo.to_callers.push((from, new.inval().bytes()));
+        };
         self.counts.news += 1;
         match self.set_up_of(sid, new) {
             Some(set_up) => {
--- a/src/iax2/legs.rs
+++ b/src/iax2/legs.rs
@@ -1,7 +1,7 @@
 //! The legs at one socket: their numbers, which are used again only after a while, and those that have ended.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use crate::iax2::frame::{Elements, Frame, Iax, Kind, MOST_NUMBER};
 use crate::iax2::leg::{Got, Leg};
@@ -13,6 +13,8 @@
 const PING_AFTER: Span = Span::from_millis(2_500);
 /// Legs at one socket, resting ones with them.
 const MOST: usize = 20_000;
+/// Legs that one address may begin here, resting ones with them. Guards against one caller who takes all numbers.
+const MOST_OF_ONE: usize = 1_024;
 
 /// A datagram to be sent.
 pub type Outgoing = (SocketAddr, Vec<u8>);
@@ -46,12 +48,14 @@
 pub struct Legs<T> {
     entries: BTreeMap<u16, Entry<T>>,
     by_peer: BTreeMap<(SocketAddr, u16), u16>,
+    /// How many legs each address has begun.
+    begun: BTreeMap<IpAddr, usize>,
     last: u16,
 }
 
 impl<T> Default for Legs<T> {
     fn default() -> Self {
-        Self { entries: BTreeMap::new(), by_peer: BTreeMap::new(), last: 0 }
+        Self { entries: BTreeMap::new(), by_peer: BTreeMap::new(), begun: BTreeMap::new(), last: 0 }
     }
 }
 
@@ -79,7 +83,7 @@
         Some(local)
     }
 
-    /// Begins a leg that a NEW asks for, and acknowledges it.
+    /// Begins a leg that a NEW asks for, and acknowledges it; `None` if its address has too many or no number is free.
     pub fn answer(
         &mut self,
         peer: SocketAddr,
@@ -88,7 +92,11 @@
         now: Time,
         out: &mut Vec<Outgoing>,
     ) -> Option<u16> {
+        if self.begun.get(&peer.ip()).is_some_and(|begun| *begun >= MOST_OF_ONE) {
+            return None;
+        }
         let local = self.free_number()?;
+        *self.begun.entry(peer.ip()).or_default() += 1;
         let mut leg = Leg::new(local, new.source, peer, now);
         let mut bytes = Vec::new();
         leg.receive(new, now, &mut bytes);
@@ -241,6 +249,15 @@
 
     fn remove(&mut self, no: u16) {
         if let Some(entry) = self.entries.remove(&no) {
+            if entry.new_stamp.is_some() {
+                let ip = entry.leg.peer.ip();
+                if let Some(begun) = self.begun.get_mut(&ip) {
+                    *begun -= 1;
+                    if *begun == 0 {
+                        self.begun.remove(&ip);
+                    }
+                }
+            }
             let key = (entry.leg.peer, entry.leg.remote);
             if self.by_peer.get(&key) == Some(&no) {
                 self.by_peer.remove(&key);
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -182,7 +182,7 @@
             core: Core::new(config.core.clone()),
             guests: Guests::new(limits.callers()),
             next_client: 0,
-            sip: Trunks::within(&server_bytes),
+            sip: Trunks::within(&server_bytes, limits.links()),
             callers: Callers::new(Usual {
                 class: config.core.classes.first().cloned().unwrap_or_else(|| "".into()),
                 left: config.usual_left,
@@ -347,10 +347,13 @@
             cancelled: core.cancelled,
             held_back: core.held_back,
             late_answers: core.late_answers,
+            unknown_answers: core.unknown_answers,
             invites: sip.invites,
             withdrawn: sip.withdrawn,
             connected: sip.connected,
             not_made: sip.not_made,
+            moved: sip.moved,
+            spoilt: sip.spoilt,
             malformed_lines: tally.lines,
             malformed_sip: sip.malformed + tally.sip,
             malformed_bulletin: tally.bulletin,
@@ -364,7 +367,7 @@
             iax2_malformed: state.callers.counts.malformed + state.servers.counts.malformed,
             mail: tally.mail,
             lost_connections: tally.lost,
-            turned_away: tally.turned_away,
+            turned_away: tally.turned_away + state.callers.counts.turned_away,
             expired: tally.expired,
             unusable: core.unusable,
             reloads: tally.reloads,
@@ -448,7 +451,7 @@
             Ok(stream) => {
                 let _ = stream.set_nodelay(true);
                 let now = self.0.clock.now();
-                self.turn(|state, _| state.sip.link_up(no, now));
+                self.turn(|state, todo| state.sip.link_up(no, now, todo));
                 let mut reader = LinkReader { instance: self.clone(), no };
                 LinkEnd::Ended(serve(&stream, &queue, &self.0.pool, &mut reader).await)
             }
@@ -522,6 +525,7 @@
         for (part, key) in wires {
             match part {
                 WirePart::Guests => self.look_at(key, now, todo),
+                WirePart::SipFirstWord => self.sip.carries(key),
                 WirePart::SipReach => self.sip.due(key, todo),
                 WirePart::SipWatch => self.sip.watch(key, now, todo),
                 WirePart::IaxFront => self.callers.due(key, now, todo),
@@ -614,6 +618,14 @@
                     self.servers.withdraw(server, now, todo);
                 }
                 Effect::Leave(server) => self.sip.leave(server),
+                Effect::Replaced(server) => {
+                    self.sip.replaced(server, todo);
+                    self.servers.replaced(server, now, todo);
+                }
+                Effect::Forget(server) => {
+                    self.sip.forget(server);
+                    self.servers.forget(server);
+                }
                 Effect::Tell(to, data) => {
                     if let Some(socket) = &self.peer_socket {
                         self.peers.tell(socket, to, &data);
@@ -658,11 +670,8 @@
                     self.instance.turn(|state, todo| state.sip.message(self.no, &message, now, todo));
                 }
                 Ok(None) => return Ok(used),
-                Err(SipError::Message { length, .. }) => {
-                    used += length;
-                    self.instance.0.state.borrow_mut().tally.sip += 1;
-                }
-                Err(SipError::Framing(_)) => {
+                // Where one answer is spoilt, those after it cannot be trusted: they may be anybody's.
+                Err(SipError::Message { .. } | SipError::Framing(_)) => {
                     self.instance.0.state.borrow_mut().tally.sip += 1;
                     return Err(Unreadable);
                 }
--- a/src/instance/reload.rs
+++ b/src/instance/reload.rs
@@ -27,6 +27,7 @@
             state.peers = config.peers.clone();
             state.callers.reconfigure(config.usual_left);
             state.guests.set_most(config.limits.callers());
+            state.sip.set_most_links(config.limits.links());
             state.tally.reloads += 1;
         }
         self.0.pool.set_most(config.limits.buffers());
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -55,7 +55,7 @@
     // Until when the message that has begun must be whole.
     let mut whole_by: Option<Instant> = None;
     loop {
-        if !queue.is_empty() {
+        if queue.may_write() {
             if let Err(error) = queue.write_to(stream) {
                 return end_of(&error);
             }
@@ -66,7 +66,7 @@
         if queue.deaf() {
             (reading, buffer, whole_by) = (false, None, None);
         }
-        let interest = match (reading, queue.is_empty()) {
+        let interest = match (reading, !queue.may_write()) {
             (true, true) => Interest::READABLE,
             (true, false) => Interest::READABLE | Interest::WRITABLE,
             (false, false) => Interest::WRITABLE,
--- a/src/net/queue.rs
+++ b/src/net/queue.rs
@@ -80,6 +80,7 @@
     finish: bool,
     abort: bool,
     deaf: bool,
+    held: bool,
 }
 
 impl WriteQueue {
@@ -156,6 +157,18 @@
         self.inner.borrow().deaf
     }
 
+    /// Keeps back what waits until told otherwise; it can be taken back meanwhile.
+    pub fn hold(&self, held: bool) {
+        self.inner.borrow_mut().held = held;
+        self.changed.notify_one();
+    }
+
+    /// Whether something may be written now.
+    pub(crate) fn may_write(&self) -> bool {
+        let inner = self.inner.borrow();
+        !inner.held && !inner.items.is_empty()
+    }
+
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
         self.inner.borrow().items.is_empty()
@@ -170,6 +183,14 @@
         self.changed.notified().await;
     }
 
+    /// All that waits has left.
+    #[cfg(test)]
+    pub(crate) fn pretend_written(&self) {
+        let mut inner = self.inner.borrow_mut();
+        self.budget.give_back(std::mem::take(&mut inner.waiting));
+        inner.items.clear();
+    }
+
     /// Writes until the connection takes no more.
     pub(crate) fn write_to(&self, stream: &TcpStream) -> io::Result<()> {
         let mut inner = self.inner.borrow_mut();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -761,8 +761,10 @@
                 self.saw_wait(end.server, end.took);
                 self.count(end.server, 1, 1);
             }
+            // A reset blames the connection, not the processor: a server that has died refuses the next one.
+            Outcome::Reset => {}
             Outcome::TimedOut | Outcome::Cancelled => self.count(end.server, 1, 0),
-            Outcome::ConnectFailed | Outcome::Reset => {
+            Outcome::ConnectFailed => {
                 self.count(end.server, 1, 0);
                 self.mark_silent(end.server);
             }
--- a/src/upstream/iax2/mod.rs
+++ b/src/upstream/iax2/mod.rs
@@ -72,6 +72,21 @@
         }
     }
 
+    /// Another call server has its address: its calls are gone.
+    pub fn replaced(&mut self, server: ServerId, now: Time, todo: &mut Todo) {
+        let of_old = self.calls.iter().filter(|(key, _)| key.0 == server);
+        let old: Vec<(Key, u16)> = of_old.map(|(key, (no, _))| (*key, *no)).collect();
+        for (key, no) in old {
+            self.legs.forget_sent(no);
+            self.broken(key, Broken::Ended, now, todo);
+        }
+    }
+
+    /// A call server that has left for good: nothing is kept of it.
+    pub fn forget(&mut self, server: ServerId) {
+        self.dials.remove(&server);
+    }
+
     /// Sends a set-up.
     #[allow(clippy::too_many_arguments)] // one set-up, as the wire wants it
     pub fn invite(
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -17,8 +17,14 @@
 use crate::upstream::Todo;
 use message::{answer, refusal_of, report_of, request, Message, Start};
 
-/// Connections to one call server at most. One serves; the others stand in for one that has gone silent.
-const MOST_LINKS: usize = 3;
+/// Connections to one call server at most. Set-ups are spread over them: whatever spoils or ends one costs the others
+/// nothing.
+const MOST_LINKS: usize = 4;
+/// A new connection carries no set-up before its call server has said something on it, or this time has passed. Guards
+/// against set-ups lost on connections that are reset when they are new.
+const FIRST_WORD: Span = Span::from_millis(150);
+/// A set-up that has not left when its connection ends goes to another so often.
+const MOST_MOVES: u8 = 3;
 /// A connection that has said nothing for so long after a set-up gets no new one while another may be had. Guards
 /// against calls lost into the open and silent connections of a machine that has vanished.
 const SUSPECT: Span = Span::from_millis(700);
@@ -45,15 +51,26 @@
     Ended(End),
 }
 
+/// A set-up on a connection.
+#[derive(Debug, Clone)]
+struct SetUpOut {
+    /// The number called.
+    number: Rc<str>,
+    /// How often it went to another connection before it left.
+    moves: u8,
+}
+
 #[derive(Debug)]
 struct Link {
     queue: Rc<WriteQueue>,
     /// Since when it stands.
     up: Option<Time>,
-    /// Set-ups open on it, with the number called.
-    out: BTreeMap<Sid, Rc<str>>,
+    /// Set-ups open on it.
+    out: BTreeMap<Sid, SetUpOut>,
     /// When the first set-up went out since anything was heard.
     asked: Option<Time>,
+    /// Whether it carries set-ups: something was heard on it, or it has stood for long enough.
+    speaks: bool,
 }
 
 #[derive(Debug)]
@@ -87,6 +104,10 @@
     pub connected: u64,
     /// Connections that could not be made.
     pub not_made: u64,
+    /// Set-ups that went to another connection because theirs ended before they left.
+    pub moved: u64,
+    /// Connections ended because of what came on them.
+    pub spoilt: u64,
 }
 
 /// All SIP call servers.
@@ -96,14 +117,22 @@
     of_link: BTreeMap<u64, ServerId>,
     next_link: u64,
     budget: Budget,
+    /// Connections to all call servers together, beyond one each.
+    most_links: usize,
     /// What was done so far.
     pub counts: SipCounts,
 }
 
 impl Trunks {
-    /// No call server yet; what waits to be written to them counts against a budget.
-    pub fn within(budget: &Budget) -> Self {
-        Self { budget: budget.clone(), ..Self::default() }
+    /// No call server yet; what waits to be written to them counts against a budget, and so many connections may be
+    /// made beyond one for each.
+    pub fn within(budget: &Budget, most_links: usize) -> Self {
+        Self { budget: budget.clone(), most_links, ..Self::default() }
+    }
+
+    /// From now on so many connections may be made beyond one for each call server.
+    pub fn set_most_links(&mut self, most_links: usize) {
+        self.most_links = most_links;
     }
 
     /// Keeps up a way to a call server. One that started anew has none of the connections made before that. Those
@@ -174,6 +203,31 @@
         todo.inputs.push(Input::Died(server));
     }
 
+    /// Another call server has its address: its process is gone, and its calls with it.
+    pub fn replaced(&mut self, server: ServerId, todo: &mut Todo) {
+        self.leave(server);
+        let links = self.trunks.get(&server).map(|t| t.links.keys().copied().collect::<Vec<_>>());
+        for link in links.into_iter().flatten() {
+            if let Some(queue) = self.queue_of(link) {
+                queue.abort();
+            }
+            self.end_link(server, link, LinkEnd::Ended(End::Ours), Time::default(), todo);
+        }
+        if let Some(trunk) = self.trunks.get_mut(&server) {
+            trunk.standing.clear();
+            todo.inputs.push(Input::Died(server));
+        }
+    }
+
+    /// A call server that has left for good: nothing is kept of it.
+    pub fn forget(&mut self, server: ServerId) {
+        let Some(trunk) = self.trunks.remove(&server) else { return };
+        for (no, link) in trunk.links {
+            self.of_link.remove(&no);
+            link.queue.abort();
+        }
+    }
+
     fn drop_links(&mut self, server: ServerId, dial: SocketAddr, born: Time, todo: &mut Todo) {
         let Some(trunk) = self.trunks.get(&server) else { return };
         let moved = trunk.dial != dial;
@@ -183,7 +237,7 @@
             if let Some(l) = self.trunks.get(&server).and_then(|t| t.links.get(&link)) {
                 l.queue.abort();
             }
-            self.end_link(server, link, LinkEnd::Ended(End::Ours), todo);
+            self.end_link(server, link, LinkEnd::Ended(End::Ours), Time::default(), todo);
         }
     }
 
@@ -192,7 +246,8 @@
         let no = self.next_link;
         self.next_link += 1;
         let queue = Rc::new(WriteQueue::within(&self.budget));
-        trunk.links.insert(no, Link { queue, up: None, out: BTreeMap::new(), asked: None });
+        queue.hold(true);
+        trunk.links.insert(no, Link { queue, up: None, out: BTreeMap::new(), asked: None, speaks: false });
         self.of_link.insert(no, server);
         todo.links.push((no, trunk.dial));
         Some(no)
@@ -230,30 +285,42 @@
             return todo.inputs.push(lost(Progress::Queued, Broken::Withdrawn));
         }
         self.counts.invites += 1;
-        link.out.insert(sid, number.clone());
+        link.out.insert(sid, SetUpOut { number: number.clone(), moves: 0 });
         link.asked.get_or_insert(now);
     }
 
+    /// The connection that the next set-up goes on: one that stands and speaks, with the fewest set-ups open. Where each
+    /// has some, another is made for those to come.
     fn pick(&mut self, server: ServerId, now: Time, todo: &mut Todo) -> Option<u64> {
+        let spare = self.of_link.len() < self.trunks.len() + self.most_links;
         let trunk = self.trunks.get(&server).filter(|t| t.wanted)?;
+        // A second one is always to be had: the first may have gone silent.
+        let few = trunk.links.len() < 2 || (trunk.links.len() < MOST_LINKS && spare);
         let suspect = |l: &Link| l.asked.is_some_and(|at| now.since(at) > SUSPECT);
-        let healthy = trunk.links.iter().filter(|(_, l)| l.up.is_some() && !suspect(l));
-        let healthy = healthy.min_by_key(|(_, l)| l.out.len()).map(|(no, _)| *no);
-        let coming = || trunk.links.iter().find(|(_, l)| l.up.is_none()).map(|(no, _)| *no);
-        if let Some(no) = healthy.or_else(coming) {
-            return Some(no);
-        }
-        if trunk.links.len() < MOST_LINKS {
-            return self.open_link(server, todo);
+        let least = |which: &dyn Fn(&Link) -> bool| {
+            let fit = trunk.links.iter().filter(|(_, l)| which(l));
+            fit.min_by_key(|(_, l)| l.out.len()).map(|(no, l)| (*no, l.out.len()))
+        };
+        let healthy = least(&|l| l.speaks && !suspect(l));
+        let coming = least(&|l| !l.speaks && !suspect(l)).map(|(no, _)| no);
+        match healthy {
+            Some((no, open)) => {
+                if open > 0 && coming.is_none() && few {
+                    self.open_link(server, todo);
+                }
+                Some(no)
+            }
+            None if coming.is_some() => coming,
+            None if few => self.open_link(server, todo),
+            None => least(&|_| true).map(|(no, _)| no),
         }
-        trunk.links.keys().next_back().copied()
     }
 
     /// Gives a set-up up; one of which no byte has left is simply taken back.
     pub fn cancel(&mut self, server: ServerId, sid: Sid) {
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         for link in trunk.links.values_mut() {
-            let Some(number) = link.out.remove(&sid) else { continue };
+            let Some(SetUpOut { number, .. }) = link.out.remove(&sid) else { continue };
             if link.queue.take_back(sid) {
                 self.counts.withdrawn += 1;
             } else {
@@ -299,7 +366,7 @@
     }
 
     /// A connection was made.
-    pub fn link_up(&mut self, no: u64, now: Time) {
+    pub fn link_up(&mut self, no: u64, now: Time, todo: &mut Todo) {
         let Some(server) = self.of_link.get(&no) else { return };
         let Some(trunk) = self.trunks.get_mut(server) else { return };
         self.counts.connected += 1;
@@ -311,12 +378,26 @@
         for bytes in waiting {
             link.queue.push(bytes, None);
         }
+        todo.dues.push((now.plus(FIRST_WORD), WirePart::SipFirstWord, no));
+    }
+
+    /// A connection that stands may carry set-ups now, whether its call server has said something on it or not.
+    pub fn carries(&mut self, no: u64) {
+        let Some(server) = self.of_link.get(&no) else { return };
+        let link = self.trunks.get_mut(server).and_then(|t| t.links.get_mut(&no));
+        if let Some(link) = link.filter(|l| l.up.is_some() && !l.speaks) {
+            link.speaks = true;
+            link.queue.hold(false);
+        }
     }
 
     /// A connection ended or could not be made.
     pub fn link_ended(&mut self, no: u64, how: LinkEnd, now: Time, todo: &mut Todo) {
         let Some(&server) = self.of_link.get(&no) else { return };
-        self.end_link(server, no, how, todo);
+        if how == LinkEnd::Ended(End::Unreadable) || how == LinkEnd::Ended(End::Short) {
+            self.counts.spoilt += 1;
+        }
+        self.end_link(server, no, how, now, todo);
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         let none_up = trunk.links.values().all(|l| l.up.is_none() || l.asked.is_some());
         let dead = match how {
@@ -340,27 +421,61 @@
         }
     }
 
-    fn end_link(&mut self, server: ServerId, no: u64, how: LinkEnd, todo: &mut Todo) {
+    /// Takes a connection off the books. Each set-up on it is settled by how far it had come: one that has left may have
+    /// run; one that has not goes to another connection, since only this one was at fault.
+    fn end_link(&mut self, server: ServerId, no: u64, how: LinkEnd, now: Time, todo: &mut Todo) {
         self.of_link.remove(&no);
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
-        let Some(link) = trunk.links.remove(&no) else { return };
+        let Some(mut link) = trunk.links.remove(&no) else { return };
         if !matches!(how, LinkEnd::Ended(_)) {
             self.counts.not_made += 1;
         }
         let rest = link.queue.take_rest();
-        let never_left = |sid: &Sid| rest.iter().any(|item| item.set_up == Some(*sid));
-        for sid in link.out.keys() {
-            let (why, progress) = match (link.up.is_some(), never_left(sid)) {
-                (false, _) => (Broken::Connect, Progress::NotConnected),
-                (true, true) => (Broken::Ended, Progress::Queued),
-                (true, false) => (Broken::Ended, Progress::Written),
+        let mut waiting = Vec::new();
+        for item in rest {
+            let Some(sid) = item.set_up else {
+                waiting.push(item.bytes);
+                continue;
             };
-            let error = AttemptError { why, progress };
+            let Some(set_up) = link.out.remove(&sid) else { continue };
+            let stood = matches!(how, LinkEnd::Ended(end) if end != End::Ours);
+            if !(stood
+                && set_up.moves < MOST_MOVES
+                && self.move_on(server, sid, &set_up, &item.bytes, now, todo))
+            {
+                let (why, progress) = match link.up {
+                    None => (Broken::Connect, Progress::NotConnected),
+                    Some(_) => (Broken::Ended, Progress::Queued),
+                };
+                let error = AttemptError { why, progress };
+                todo.inputs.push(Input::Server(server, sid, ServerSays::Lost(error)));
+            }
+        }
+        for sid in link.out.keys() {
+            let error = AttemptError { why: Broken::Ended, progress: Progress::Written };
             todo.inputs.push(Input::Server(server, *sid, ServerSays::Lost(error)));
         }
-        let others = rest.into_iter().filter(|item| item.set_up.is_none()).map(|item| item.bytes);
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
         let room = MOST_WAITING.saturating_sub(trunk.waiting.len());
-        trunk.waiting.extend(others.take(room));
+        trunk.waiting.extend(waiting.into_iter().take(room));
+    }
+
+    fn move_on(
+        &mut self,
+        server: ServerId,
+        sid: Sid,
+        set_up: &SetUpOut,
+        bytes: &Bytes,
+        now: Time,
+        todo: &mut Todo,
+    ) -> bool {
+        let Some(no) = self.pick(server, now, todo) else { return false };
+        let link = self.trunks.get_mut(&server).and_then(|t| t.links.get_mut(&no));
+        let Some(link) = link.filter(|l| l.queue.push(bytes.clone(), Some(sid))) else { return false };
+        link.out.insert(sid, SetUpOut { number: set_up.number.clone(), moves: set_up.moves + 1 });
+        link.asked.get_or_insert(now);
+        self.counts.moved += 1;
+        true
     }
 
     /// A wait before the next connection is over.
@@ -378,18 +493,25 @@
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         let Some(link) = trunk.links.get_mut(&no) else { return };
         (link.asked, trunk.heard) = (None, now);
+        if !std::mem::replace(&mut link.speaks, true) {
+            link.queue.hold(false);
+        }
         let sid = Sid::parse(&message.call_id);
         match (&message.start, message.cseq.1.as_str(), sid) {
             (Start::Answer(100..=199), _, _) => {}
             (Start::Answer(code), "INVITE", Some(sid)) => {
-                let number = link.out.remove(&sid);
+                let number = link.out.remove(&sid).map(|set_up| set_up.number);
+                let asked = number.is_some();
                 let known = number.or_else(|| trunk.standing.get(&sid).cloned());
                 let to = known.as_deref().unwrap_or(NO_NUMBER);
                 link.queue.push(request("ACK", to, sid, (message.cseq.0, "ACK"), "", ""), None);
                 let says = match (*code, std::str::from_utf8(&message.body)) {
                     (200..=299, Ok(body)) => {
-                        trunk.standing.insert(sid, known.unwrap_or_else(|| NO_NUMBER.into()));
-                        if !std::mem::replace(&mut trunk.watched, true) {
+                        // Guards against entries for calls that nobody asked for here: a second copy, an unknown name.
+                        if let Some(number) = known.filter(|_| asked) {
+                            trunk.standing.insert(sid, number);
+                        }
+                        if asked && !std::mem::replace(&mut trunk.watched, true) {
                             let key = u64::from(server.address);
                             todo.dues.push((now.plus(ASK_AFTER), WirePart::SipWatch, key));
                         }
--- a/src/upstream/sip/tests.rs
+++ b/src/upstream/sip/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::interface::Time;
 
+const NOTIFY: &str = "NOTIFY sip:a@b SIP/2.0\r\nCSeq: 1 NOTIFY\r\nContent-Length: 0\r\n\r\n";
 const SERVER: ServerId = ServerId { address: 1, port: 0 };
 
 struct Drive {
@@ -37,6 +38,11 @@
         self.trunks.message(link, &message, self.now, &mut todo);
         todo
     }
+    /// A connection stands and its call server has said something on it.
+    fn up(&mut self, link: u64) {
+        self.trunks.link_up(link, self.now, &mut Todo::default());
+        self.hears(link, NOTIFY);
+    }
     fn stands(&mut self, link: u64, n: u64) {
         self.invite(n);
         let text =
@@ -81,7 +87,7 @@
 fn a_reset_is_a_death_only_if_the_next_connection_is_refused() {
     for (next, dies) in [(LinkEnd::Refused, true), (LinkEnd::NotMade, false)] {
         let (mut drive, link) = Drive::new();
-        drive.trunks.link_up(link, drive.now);
+        drive.up(link);
         drive.stands(link, 1);
         drive.now = at(100);
         let todo = drive.ends(link, LinkEnd::Ended(End::Reset));
@@ -99,7 +105,7 @@
 #[test]
 fn calls_of_a_server_silent_for_long_are_released_and_it_is_told_should_it_live() {
     let (mut drive, link) = Drive::new();
-    drive.trunks.link_up(link, drive.now);
+    drive.up(link);
     drive.stands(link, 1);
     drive.now = at(3_000);
     let todo = drive.watch();
@@ -109,7 +115,7 @@
     drive.now = next;
     assert!(died(&drive.watch()));
     let second = todo.links[0].0;
-    drive.trunks.link_up(second, drive.now);
+    drive.up(second);
     assert!(!drive.trunks.queue_of(second).expect("kept").is_empty());
 }
 
@@ -118,12 +124,12 @@
 #[test]
 fn a_late_word_of_a_start_ends_the_connections_made_before_it_and_no_other() {
     let (mut drive, link) = Drive::new();
-    drive.trunks.link_up(link, at(0));
+    drive.up(link);
     drive.now = at(800);
     drive.invite(1);
     drive.now = at(2_000);
     let second = drive.invite(2).links[0].0;
-    drive.trunks.link_up(second, drive.now);
+    drive.up(second);
     let mut todo = Todo::default();
     drive.trunks.reach(SERVER, ([127, 0, 0, 1], 1).into(), Some(at(1_500)), &mut todo);
     assert!(drive.trunks.queue_of(link).is_none() && drive.trunks.queue_of(second).is_some());
@@ -137,7 +143,7 @@
 #[test]
 fn a_server_that_speaks_keeps_its_calls_however_long_they_last() {
     let (mut drive, link) = Drive::new();
-    drive.trunks.link_up(link, drive.now);
+    drive.up(link);
     drive.stands(link, 1);
     for second in 1..=30 {
         drive.now = at(second * 1000);
@@ -149,7 +155,7 @@
 #[test]
 fn a_connection_that_answers_nothing_gets_no_further_set_ups_while_another_can_be_had() {
     let (mut drive, link) = Drive::new();
-    drive.trunks.link_up(link, drive.now);
+    drive.up(link);
     drive.invite(1);
     drive.now = at(800);
     let todo = drive.invite(2);
@@ -163,7 +169,7 @@
 #[test]
 fn what_concerns_a_call_goes_on_the_next_connection_when_one_is_lost() {
     let (mut drive, link) = Drive::new();
-    drive.trunks.link_up(link, drive.now);
+    drive.up(link);
     drive.stands(link, 1);
     let todo = drive.ends(link, LinkEnd::Ended(End::Closed));
     assert!(!died(&todo));
@@ -174,6 +180,108 @@
     drive.trunks.due(key, &mut todo);
     let next = todo.links[0].0;
     drive.trunks.bye(SERVER, sid(1), 16, &mut Todo::default());
-    drive.trunks.link_up(next, drive.now);
+    drive.up(next);
     assert!(!drive.trunks.queue_of(next).expect("kept").is_empty());
 }
+
+/// Drives a call server with several connections that speak, as many as there can be.
+fn spread() -> (Drive, Vec<u64>) {
+    let (mut drive, first) = Drive::new();
+    drive.trunks.set_most_links(9);
+    drive.up(first);
+    let mut links = vec![first];
+    for n in 100..108 {
+        for link in drive.invite(n).links {
+            drive.up(link.0);
+            links.push(link.0);
+        }
+    }
+    (drive, links)
+}
+
+fn lost(todo: &Todo) -> Vec<(Sid, Progress)> {
+    let lost = |input: &Input| match input {
+        Input::Server(SERVER, sid, ServerSays::Lost(error)) => Some((*sid, error.progress)),
+        _ => None,
+    };
+    todo.inputs.iter().filter_map(lost).collect()
+}
+
+/// Guards against one spoilt answer that costs all set-ups at a call server.
+#[test]
+fn set_ups_are_spread_over_connections_and_a_spoilt_one_costs_its_own_alone() {
+    let (mut drive, links) = spread();
+    assert_eq!(links.len(), 4);
+    for n in 0..8 {
+        drive.invite(n);
+    }
+    let on_first = drive.trunks.queue_of(links[0]).expect("kept");
+    // Written: it may have run.
+    on_first.pretend_written();
+    let todo = drive.ends(links[0], LinkEnd::Ended(End::Unreadable));
+    let lost = lost(&todo);
+    assert!((1..=4).contains(&lost.len()), "{lost:?}");
+    assert!(lost.iter().all(|(_, progress)| *progress == Progress::Written));
+    assert!(!died(&todo) && drive.trunks.counts.spoilt == 1);
+}
+
+/// Guards against calls lost because a connection was reset when it was new or idle: they provably never ran.
+#[test]
+fn what_has_not_left_goes_to_another_connection_and_nobody_hears_of_it() {
+    let (mut drive, link) = Drive::new();
+    drive.invite(1);
+    // It stands, but nothing was heard on it yet: the set-up is kept back.
+    drive.trunks.link_up(link, drive.now, &mut Todo::default());
+    assert!(!drive.trunks.queue_of(link).expect("kept").may_write());
+    let todo = drive.ends(link, LinkEnd::Ended(End::Reset));
+    assert!(todo.inputs.is_empty(), "{todo:?}");
+    let next = todo.links[0].0;
+    drive.up(next);
+    assert!(drive.trunks.queue_of(next).expect("kept").may_write());
+    assert_eq!(drive.trunks.counts.moved, 1);
+    // Without end it does not go round.
+    let mut link = next;
+    let mut moves = 0;
+    while let [(next, _)] = drive.ends(link, LinkEnd::Ended(End::Reset)).links[..] {
+        (link, moves) = (next, moves + 1);
+        assert!(moves < 9);
+    }
+    assert_eq!(drive.trunks.counts.moved, 3);
+}
+
+#[test]
+fn a_new_connection_that_says_nothing_carries_set_ups_all_the_same_after_a_while() {
+    let (mut drive, link) = Drive::new();
+    drive.invite(1);
+    let mut todo = Todo::default();
+    drive.trunks.link_up(link, drive.now, &mut todo);
+    assert_eq!(todo.dues, [(at(150), WirePart::SipFirstWord, link)]);
+    drive.trunks.carries(link);
+    assert!(drive.trunks.queue_of(link).expect("kept").may_write());
+}
+
+/// Guards against entries that nobody takes away: answers under unknown names, call servers that have left.
+#[test]
+fn nothing_is_kept_of_unknown_answers_nor_of_a_server_that_was_forgotten() {
+    let (mut drive, link) = Drive::new();
+    drive.up(link);
+    let unknown =
+        "SIP/2.0 200 OK\r\nCall-ID: 00000000000000ff\r\nCSeq: 1 INVITE\r\nContent-Length: 1\r\n\r\ny";
+    drive.hears(link, unknown);
+    assert!(drive.trunks.trunks[&SERVER].standing.is_empty());
+    let queue = drive.trunks.queue_of(link).expect("kept");
+    drive.trunks.forget(SERVER);
+    assert!(queue.ends() && drive.trunks.trunks.is_empty() && drive.trunks.of_link.is_empty());
+}
+
+/// Guards against calls left standing at a call server whose place another has taken.
+#[test]
+fn a_server_that_was_replaced_is_dead_and_no_way_is_made_to_it() {
+    let (mut drive, link) = Drive::new();
+    drive.up(link);
+    drive.stands(link, 1);
+    let mut todo = Todo::default();
+    drive.trunks.replaced(SERVER, &mut todo);
+    assert!(died(&todo) && todo.links.is_empty());
+    assert!(drive.invite(2).links.is_empty());
+}
