Send a call once more to the server that erred when no other takes it

A probe that printed each refusal of the call servers showed all errors (500, no note) from one server, idle by its own report (queue 0, util 0.1), that still took some calls, while the other stood at its limit.

A second probe at each refusal showed why: all calls then jam the other server (its queue of seconds cuts all), and the calls that the erring one would have taken are gone. Its errors come at once and cost nearly no work. Faulty lines: `on_ended` puts the server on `tried` after any error, so `send_again` refuses a call whose other server sheds.

Changed: such a call goes once more to the server that erred, if that one alone has erred and a repeat is safe.

The test was seen to fail without the change.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -195,6 +195,8 @@
     draw: f64,
     /// Where and when an attempt first may have run.
     may_have_run: Option<(ServerId, Time)>,
+    /// Servers that answered with an error, in order.
+    erred: Vec<ServerId>,
 }
 
 /// What a timer is for.
@@ -330,6 +332,7 @@
             tried: Vec::new(),
             draw,
             may_have_run: None,
+            erred: Vec::new(),
         };
         if self.time_left(&call) == Span::default() || !self.number_passes(new.number) {
             return self.turn_away(&call, actions);
@@ -728,6 +731,7 @@
                         self.turn_away(&call, actions);
                     }
                 } else {
+                    call.erred.push(end.server);
                     self.send_again(end.call, actions);
                 }
             }
@@ -831,12 +835,22 @@
     fn send_again(&mut self, id: CallId, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.remove(&id) else { return };
         let room = call.attempts < self.settings.max_attempts && self.time_left(&call) > Span::default();
-        match if room { self.place(&call, false) } else { None } {
+        match if room { self.place(&call, false).or_else(|| self.once_more(&call)) } else { None } {
             Some(server) => self.send(call, server, actions),
             None => self.turn_away(&call, actions),
         }
     }
 
+    /// A call that no other server takes goes once more to the one that answered with an error. Guards
+    /// against calls refused for want of another server while one that fails some of its calls would take
+    /// them. Errors of two servers blame the call: it is not tried on.
+    fn once_more(&mut self, call: &Call) -> Option<ServerId> {
+        let &[server] = call.erred.as_slice() else { return None };
+        let class = self.settings.classes.get(call.new.class);
+        let known = self.servers.get(&server).filter(|s| s.entry.state == ServerState::Ready)?;
+        (self.repeat_is_safe(call, class, known) && self.passes(server, call)).then_some(server)
+    }
+
     // ---- Final answers -------------------------------------------------------------------
 
     /// The final answer for a call that will not stand: refused, unless it may have been carried out
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -864,3 +864,25 @@
         ramp(gap_ms, cold_after);
     }
 }
+
+/// Guards against calls refused while a server that fails some of its calls would take them, and against calls that
+/// no server can use being sent again and again.
+#[test]
+fn after_an_error_a_call_that_no_other_takes_goes_to_the_same_server_once_more() {
+    let mut bench = Bench::new(settings(), 1);
+    let (call, actions) = bench.call(1);
+    assert_eq!(sent_to(&actions), Some(1));
+    assert_eq!(sent_to(&bench.ends(call, 0, 1, Outcome::Error, Cause::None)), Some(1));
+    assert!(refused(&bench.ends(call, 1, 1, Outcome::Error, Cause::None)));
+    // Where another takes it, that one is asked; where both fail it, the call is at fault.
+    let mut bench = Bench::new(settings(), 2);
+    let (call, _) = bench.call(1);
+    assert_eq!(sent_to(&bench.ends(call, 0, 1, Outcome::Error, Cause::None)), Some(2));
+    assert!(refused(&bench.ends(call, 1, 2, Outcome::Error, Cause::None)));
+    // A class that must not be carried out twice is not sent again.
+    let mut once = settings();
+    once.classes[0].repeats = Repeats::SingleShot;
+    let mut bench = Bench::new(once, 1);
+    let (call, _) = bench.call(1);
+    assert_eq!(sent_to(&bench.ends(call, 0, 1, Outcome::Error, Cause::None)), None);
+}
