Reread the agent's file on request; try once more where an answer was lost

A call whose answer was lost goes once more to the same server if no other takes it, as after an error. Tests for the shared budget of what waits, the kept buffers, the shares that follow the limits, the agent's reload, and that what the module sees out is what is out on the wire over 4,000 drawn steps.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -13,7 +13,7 @@
     /// Whether another call may be held.
     pub(super) fn admits(&self, client: Client) -> bool {
         let room = self.open.len() < self.config.most_held && self.held_bytes < self.config.most_bytes;
-        let of_one = self.clients.get(&client).copied().unwrap_or_default();
+        let of_one = self.clients.get(&client).map_or(0, |caller| caller.owed);
         self.list_held && room && of_one < MOST_OF_ONE
     }
 
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -4,7 +4,7 @@
 
 use crate::core::relay::{CAUSE_CLEARED, CAUSE_CUT};
 use crate::core::send::ended;
-use crate::core::{Client, Core, Due, Effect, FrontKind, Report, Sid};
+use crate::core::{Caller, Client, Core, Due, Effect, FrontKind, Report, Sid};
 use crate::interface::{Attempt, AttemptEnd, CallId, Cause, Event, Outcome, ServerId, Span, Time};
 
 /// An ended call is remembered this long: a release that crosses ours must not be taken for an unknown call's.
@@ -14,6 +14,9 @@
 /// Ended calls and waiting releases kept at most; memory only.
 const MOST_KEPT: usize = 16_384;
 
+/// Calls not known here that one caller may end; it may have had so many before a restart of this controller.
+const MOST_STRANGERS: usize = 256;
+
 /// A call that stands.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Standing {
@@ -101,7 +104,7 @@
 
 impl Core {
     pub(super) fn client_up(&mut self, client: Client, out: &mut Vec<Effect>) {
-        self.clients.insert(client, 0);
+        self.clients.insert(client, Caller::default());
         if client.front == FrontKind::JsonLines {
             // Releases that found no connection go on the first that opens.
             let waiting: Vec<(Sid, u16)> = self
@@ -155,6 +158,14 @@
         if self.book.standing.contains_key(&sid) {
             self.end_standing(sid, cause, out);
         } else if !self.book.ended.contains_key(&sid) {
+            // Guards against a caller who ends hundreds of calls that nobody knows, each at every call server.
+            let strangers = self.clients.get_mut(&client).map_or(0, |caller| {
+                caller.strangers += 1;
+                caller.strangers
+            });
+            if strangers > MOST_STRANGERS {
+                return;
+            }
             // Set up before a restart of this controller: whichever call server holds it lets it go.
             self.remember(sid);
             let servers: Vec<ServerId> = self.servers.keys().copied().collect();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -131,6 +131,15 @@
     not_before: Time,
 }
 
+/// A caller's connection or leg that is there.
+#[derive(Debug, Clone, Copy, Default)]
+struct Caller {
+    /// Calls that it is owed an answer for.
+    owed: usize,
+    /// Calls that it ended and that nobody here knew.
+    strangers: usize,
+}
+
 /// A call server as the directories tell of it.
 #[derive(Debug)]
 struct Listed {
@@ -151,8 +160,8 @@
     hosts: BTreeMap<(Source, String), ServerId>,
     next_server: u32,
     list_held: bool,
-    /// Callers that are there, with the calls that each is owed an answer for.
-    clients: BTreeMap<Client, usize>,
+    /// Callers that are there.
+    clients: BTreeMap<Client, Caller>,
     book: Book,
     /// All deadlines of the instance, the wires' too.
     pub deadlines: Deadlines<Due>,
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -99,8 +99,8 @@
     pub(super) fn close(&mut self, sid: Sid) -> Option<crate::core::Open> {
         let open = self.open.remove(&sid)?;
         self.held_bytes = self.held_bytes.saturating_sub(open.body.len());
-        if let Some(of_one) = self.clients.get_mut(&open.client) {
-            *of_one = of_one.saturating_sub(1);
+        if let Some(caller) = self.clients.get_mut(&open.client) {
+            caller.owed = caller.owed.saturating_sub(1);
         }
         self.names.remove(&open.id);
         self.deadlines.clear(&crate::core::Due::Attempt(open.id));
@@ -112,10 +112,10 @@
 impl Core {
     /// A call that is owed its answer is now another connection's.
     pub(super) fn moved(&mut self, from: Client, to: Client) {
-        if let Some(of_one) = self.clients.get_mut(&from) {
-            *of_one = of_one.saturating_sub(1);
+        if let Some(caller) = self.clients.get_mut(&from) {
+            caller.owed = caller.owed.saturating_sub(1);
         }
-        *self.clients.entry(to).or_default() += 1;
+        self.clients.entry(to).or_default().owed += 1;
     }
 }
 
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -82,7 +82,7 @@
         let open = Open { id, client, class, number, body, valid_until, attempts: 0, out: None, not_before };
         self.held_bytes += open.body.len();
         self.open.insert(sid, open);
-        *self.clients.entry(client).or_default() += 1;
+        self.clients.entry(client).or_default().owed += 1;
         self.names.insert(id, sid);
         self.deadlines.set(valid_until, Due::Caller(id));
     }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -362,3 +362,57 @@
     let effects = drive.says(server, 2, answered("y"));
     assert!(matches!(effects[..], [Effect::Bye(..)]), "{effects:?}");
 }
+
+/// Guards against a view of the load that drifts from what is on the wire: the module would keep calls from a server
+/// for set-ups that are long over, or press one by those that it has forgotten.
+#[test]
+fn the_module_sees_out_what_is_out_whatever_happens() {
+    let mut drive = Drive::new(3);
+    let mut seed = 7_u64;
+    let mut draw = |n: u64| {
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (seed >> 33) % n
+    };
+    let mut most = 0;
+    for n in 0..4_000 {
+        drive.core.config.most_held = 50;
+        let back = n - draw(20).min(n);
+        let out = drive.core.open.get(&Sid::numbered(back)).and_then(|open| open.out);
+        let at = out.map_or(ServerId { address: 1, port: 0 }, |o| o.server);
+        let lost = |progress| ServerSays::Lost(AttemptError { why: Broken::Ended, progress });
+        match draw(9) {
+            0 => drop(drive.says(at, back, full())),
+            1 => drop(drive.says(at, back, answered("y"))),
+            2 => drop(drive.says(at, back, lost(Progress::Written))),
+            3 => drop(drive.says(at, back, lost(Progress::Queued))),
+            4 => drop(drive.input(Input::Close(CLIENT, Sid::numbered(back), 16))),
+            5 => drop(drive.says(at, back, ServerSays::Released(41, Report::new()))),
+            6 if n % 50 == 0 => {
+                let state = [ServerState::Ready, ServerState::Draining, ServerState::Gone][draw(3) as usize];
+                let server = draw(3) as u16;
+                let hosts = vec![line(&format!("s{server}"), server, state, n)];
+                drive.input(Input::List { source: Source::Bulletin, whole: false, hosts });
+            }
+            _ => drop(drive.open(n, 500 + draw(4_000))),
+        }
+        drive.pass(draw(60));
+        let wire = drive.core.open.values().filter_map(|open| Some((open.out?.server, open.id)));
+        let wire: std::collections::BTreeSet<_> = wire.collect();
+        assert_eq!(drive.core.module.in_flight(), wire, "after step {n}");
+        most = most.max(wire.len());
+    }
+    assert!(most > 3, "never more than {most} out");
+}
+
+/// Guards against a caller who ends hundreds of calls that nobody knows, each at every call server.
+#[test]
+fn a_caller_ends_so_many_calls_that_nobody_knows_and_no_more() {
+    let mut drive = Drive::new(2);
+    let mut byes = 0;
+    for n in 0..1_000 {
+        let effects = drive.input(Input::Close(CLIENT, Sid::numbered(n), 16));
+        assert!(matches!(effects.first(), Some(Effect::Heard(..))), "{effects:?}");
+        byes += effects.iter().filter(|e| matches!(e, Effect::Bye(..))).count();
+    }
+    assert_eq!(byes, 2 * 256);
+}
--- a/src/iax2/legs.rs
+++ b/src/iax2/legs.rs
@@ -265,3 +265,34 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn new(source: u16) -> Frame {
+        let elements = Elements::default();
+        let kind = Kind::Iax(Iax::New);
+        Frame { source, dest: 0, again: false, timestamp: 1, oseq: 0, iseq: 0, kind, elements }
+    }
+
+    /// Guards against one caller who takes all numbers, and against memory that its calls keep when they are over.
+    #[test]
+    fn one_address_begins_so_many_legs_and_gets_them_back_when_they_have_rested() {
+        let mut legs: Legs<u16> = Legs::default();
+        let peer = |host, port| SocketAddr::from(([127, 0, 0, host], port));
+        let (now, mut out) = (Time(1_000_000), Vec::new());
+        let mut begun = Vec::new();
+        for n in 0..1_024_u16 {
+            begun.extend(legs.answer(peer(1, 1_000 + n % 7), &new(n + 1), n, now, &mut out));
+        }
+        assert_eq!(begun.len(), 1_024);
+        assert!(legs.answer(peer(1, 9), &new(7), 0, now, &mut out).is_none());
+        assert!(legs.answer(peer(2, 9), &new(7), 0, now, &mut out).is_some());
+        for no in begun {
+            legs.end(no, now);
+            legs.due(no, now.plus(REST), &mut out);
+        }
+        assert_eq!((legs.entries.len(), legs.begun.len(), legs.by_peer.len()), (1, 1, 1));
+    }
+}
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -287,7 +287,9 @@
         if let Some(acceptor) = acceptor {
             acceptor.abort();
         }
-        while stopped.elapsed() < STILL_TAKES || !self.settled() {
+        // Guards against callers who do not read their answers and keep the program from ending.
+        let latest = STILL_TAKES + Duration::from_micros(config.core.longest.0);
+        while stopped.elapsed() < STILL_TAKES || (!self.settled() && stopped.elapsed() < latest) {
             tokio::time::sleep(LOOK_EVERY).await;
         }
         timer.abort();
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -100,3 +100,24 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against those who send half a message each and hold the buffers of all the others.
+    #[test]
+    fn the_last_buffers_are_kept_for_messages_that_come_whole_and_a_crowd_s_are_given_back() {
+        let pool = Pool::new(20);
+        let mut held = Vec::new();
+        while pool.may_keep() {
+            held.push(pool.take().expect("one more"));
+        }
+        assert_eq!(held.len(), 20 - KEPT + 1);
+        assert!(pool.take().is_some(), "one for a message that comes whole");
+        drop(held);
+        assert_eq!((pool.lent(), pool.0.borrow().buffers.len()), (0, KEPT));
+        pool.set_most(2 * KEPT);
+        assert_eq!(std::iter::from_fn(|| pool.take()).take(99).map(std::mem::forget).count(), 2 * KEPT);
+    }
+}
--- a/src/net/queue.rs
+++ b/src/net/queue.rs
@@ -222,3 +222,24 @@
         length
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against callers who ask much and read nothing and together take the memory that is allowed.
+    #[test]
+    fn what_waits_on_many_connections_is_bounded_together_and_given_back() {
+        let budget = Budget::new(1_000);
+        let queues: Vec<WriteQueue> = (0..4).map(|_| WriteQueue::within(&budget)).collect();
+        let push = |n: usize, sid| queues[n].push(Bytes::from(vec![0; 300]), sid);
+        let sid = Some(Sid::numbered(1));
+        assert!(push(0, sid) && push(1, None) && push(2, None));
+        assert!(!push(3, None), "each is within its own bound, all together are not");
+        assert!(queues[0].take_back(Sid::numbered(1)) && push(3, None));
+        drop(queues);
+        assert!(WriteQueue::within(&budget).push(Bytes::from(vec![0; 1_000]), None));
+        budget.set_most(10);
+        assert!(!WriteQueue::within(&budget).push(Bytes::from(vec![0; 11]), None));
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -195,7 +195,7 @@
     draw: f64,
     /// Where and when an attempt first may have run.
     may_have_run: Option<(ServerId, Time)>,
-    /// Servers that answered with an error, in order.
+    /// Servers that answered with an error, or whose answer was lost on its way, in order.
     erred: Vec<ServerId>,
 }
 
@@ -737,6 +737,9 @@
             }
             Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
                 call.may_have_run.get_or_insert((end.server, sent));
+                if end.outcome == Outcome::Reset {
+                    call.erred.push(end.server);
+                }
                 // Rule 5, and one round more, so that the wait is over by anybody's count.
                 let wait = Span(self.settings.release.0.saturating_add(self.settings.tick.0));
                 self.wake_in(wait, Wake::Released(end.call), actions);
@@ -841,9 +844,9 @@
         }
     }
 
-    /// A call that no other server takes goes once more to the one that answered with an error. Guards
-    /// against calls refused for want of another server while one that fails some of its calls would take
-    /// them. Errors of two servers blame the call: it is not tried on.
+    /// A call that no other server takes goes once more to the one that answered with an error, or whose
+    /// answer was lost. Guards against calls refused for want of another server while one that fails some
+    /// of its calls would take them. Errors of two servers blame the call: it is not tried on.
     fn once_more(&mut self, call: &Call) -> Option<ServerId> {
         let &[server] = call.erred.as_slice() else { return None };
         let class = self.settings.classes.get(call.new.class);
@@ -924,6 +927,13 @@
         }
     }
 
+    /// The set-ups that are out, as this gateway sees it.
+    #[cfg(test)]
+    pub(crate) fn in_flight(&self) -> std::collections::BTreeSet<(ServerId, CallId)> {
+        let out = |(id, s): (&ServerId, &Server)| s.out.iter().map(|o| (*id, o.call)).collect::<Vec<_>>();
+        self.servers.iter().flat_map(out).collect()
+    }
+
     /// A draw of mean 1 from the exponential distribution.
     fn exponential(&mut self) -> f64 {
         -(1.0 - self.uniform()).ln()
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -102,6 +102,36 @@
     assert_eq!(desk.tool(&["status"]).status.code(), Some(3));
 }
 
+/// Guards against a bad file that takes the place of a good one, and against instances that a new file does not reach.
+#[test]
+fn the_agent_rereads_its_file_and_keeps_the_old_one_where_the_new_one_is_bad() {
+    let mut desk = Desk::new("reload");
+    let file = desk.file("agent.toml", &example());
+    desk.start(&file);
+    desk.file("agent.toml", &example().replacen("worth = 1.0", "worth = \"much\"", 1));
+    let refused = desk.tool(&["reload"]);
+    let said = String::from_utf8_lossy(&refused.stderr).into_owned();
+    assert!(refused.status.code() == Some(1) && said.contains("instance[0].settings"), "{said}");
+    assert!(desk.says(&["stats", "desks"]).contains(" reload_failures=1 reloads=0 "));
+    // Another bulletin for one, another instance in place of the other.
+    let next = example().replace("\"judges\"", "\"clubs\"").replace("127.0.0.1:4222", "127.0.0.1:4223");
+    desk.file("agent.toml", &next);
+    desk.says(&["reload"]);
+    desk.until("the new one runs and the old one ends", |desk| {
+        let status = desk.says(&["status"]);
+        status.contains("clubs  waiting")
+            && status.contains("judges  stopped")
+            && status.contains("desks  waiting")
+    });
+    let kept = desk.says(&["stats", "desks"]);
+    assert!(kept.contains(" reload_failures=1 reloads=1 "), "{kept}");
+    // SIGHUP does the same.
+    let id = desk.agent.as_ref().map(Child::id).expect("an id").to_string();
+    assert!(Command::new("kill").args(["-HUP", &id]).status().expect("sent").success());
+    desk.until("it was reread", |desk| desk.says(&["stats", "clubs"]).contains(" reloads=1 "));
+    desk.says(&["stop"]);
+}
+
 #[test]
 fn bad_configuration_is_one_line_that_names_file_and_key_and_an_exit_code() {
     let desk = Desk::new("check");
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use lockpoint::config::{parse_operator, parse_platform};
+use lockpoint::config::{parse_operator, parse_platform, Limits};
 use lockpoint::core::{Refusal, Sid};
 use lockpoint::directory::bulletin::{parse_answer, parse_page};
 use lockpoint::front::jsonl::{self, Line};
@@ -51,6 +51,22 @@
     assert!(read.starts_with(kind), "{read}");
 }
 
+// ---- Limits ---------------------------------------------------------------------------------------------
+
+/// Guards against shares of the memory and the descriptors that are assumed and not read.
+#[rstest]
+#[case(256, 32)]
+#[case(384, 48)]
+#[case(1_024, 192)]
+fn what_each_concern_may_use_follows_the_limits(#[case] sockets: usize, #[case] memory_mb: usize) {
+    let limits = Limits { sockets, memory_mb };
+    // Callers hold at most a third; the rest of their share is for those who hold more than that.
+    assert!(limits.callers() > sockets / 3 && limits.callers() + limits.links() < sockets);
+    // Four such shares: buffers, descriptions, and what waits on either side.
+    assert!(4 * limits.eighth() <= (memory_mb << 20) / 2 && limits.buffers() * 16_640 <= limits.eighth());
+    assert!(limits.calls(20_000) * 1_024 <= limits.eighth() && limits.calls(10) == 10);
+}
+
 // ---- SIP -------------------------------------------------------------------------------------------------
 
 const ANSWER: &str = "SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 9b1f03aa5c7e2d41\r\nCSeq: 1 INVITE\r\nP-Report: x0:12;x1:40;queue:3;new:1;util\r\nContent-Length: 4\r\n\r\na\r\nb";
