Say a release to a caller whose calls have stood, not to whoever came last

Changed: the newest connection on which a call has stood comes first, any other only where there is none. The test was seen to fail without the change.

--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -242,7 +242,12 @@
     fn say_release(&mut self, client: Client, sid: Sid, cause: u16, out: &mut Vec<Effect>) {
         let own = self.clients.contains_key(&client).then_some(client);
         let shared = client.front == FrontKind::JsonLines;
-        let any = || self.clients.keys().rfind(|c| shared && c.front == client.front).copied();
+        // Guards against a release that is said to whoever came last: it may be one of those who only fill the door.
+        let newest = |served: bool| {
+            let fit = |(c, caller): &(&Client, &Caller)| c.front == client.front && caller.served >= served;
+            self.clients.iter().rfind(fit).map(|(c, _)| *c).filter(|_| shared)
+        };
+        let any = || newest(true).or_else(|| newest(false));
         match own.or_else(any) {
             Some(client) => {
                 self.counts.released += 1;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -138,6 +138,8 @@
     owed: usize,
     /// Calls that it ended and that nobody here knew.
     strangers: usize,
+    /// Whether a call of it ever stood.
+    served: bool,
 }
 
 /// A call server as the directories tell of it.
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -55,6 +55,9 @@
         let Some(open) = self.close(sid) else { return };
         let Some(o) = open.out else { return };
         self.counts.answered += 1;
+        if let Some(caller) = self.clients.get_mut(&open.client) {
+            caller.served = true;
+        }
         out.push(Effect::Answer(open.client, sid, body));
         self.book.stands(sid, open.client, o.server, open.id, o.attempt, self.now);
         let (call, attempt, server) = (open.id, Attempt(o.attempt), o.server);
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -416,3 +416,31 @@
     }
     assert_eq!(byes, 2 * 256);
 }
+
+/// Guards against a release that is said to whoever came last: it may be one of those who only fill the door.
+#[test]
+fn a_release_goes_to_a_caller_whose_calls_have_stood_rather_than_to_the_newest() {
+    let mut drive = Drive::new(1);
+    let caller = |no| Client { front: FrontKind::JsonLines, no };
+    let server = invited(&drive.open(1, 9_000)).expect("sent");
+    drive.says(server, 1, answered("y"));
+    drive.input(Input::ClientUp(caller(2)));
+    let mut set_up = SetUp {
+        sid: Sid::numbered(2),
+        class: "judge-call".into(),
+        left: Span::from_millis(2_000),
+        number: "7f".into(),
+        dest: Some(Cell(0)),
+        redialled: false,
+        body: "x".into(),
+    };
+    drive.input(Input::Open(caller(2), set_up.clone()));
+    drive.says(server, 2, answered("y"));
+    // One that never had a call that stood.
+    drive.input(Input::ClientUp(caller(3)));
+    set_up.sid = Sid::numbered(3);
+    drive.input(Input::Open(caller(3), set_up));
+    drive.input(Input::ClientDown(CLIENT));
+    let effects = drive.says(server, 1, ServerSays::Released(16, Report::new()));
+    assert!(matches!(effects[..], [Effect::Release(to, _, 16)] if to == caller(2)), "{effects:?}");
+}
