--- a/src/config.rs
+++ b/src/config.rs
@@ -47,6 +47,10 @@
     pub name: String,
     /// Where JSON-lines callers connect.
     pub listen: Option<SocketAddr>,
+    /// The descriptor of a listening socket that the platform holds.
+    pub inherited: Option<i32>,
+    /// Where operators call.
+    pub console: Option<SocketAddr>,
     /// Where datagrams of peers arrive.
     pub peer_listen: Option<SocketAddr>,
     /// Where peers are.
@@ -152,6 +156,8 @@
     #[serde(default)]
     limits: Limits,
     #[serde(default)]
+    console: Option<SocketAddr>,
+    #[serde(default)]
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
@@ -191,12 +197,19 @@
 impl Limits {
     /// Connections to call servers beyond one for each.
     pub fn links(&self) -> usize {
-        (self.sockets - self.callers().min(self.sockets)) / 2
+        (self.rest() - self.operators().min(self.rest())) / 2
     }
     /// Callers' connections; the rest is for call servers, directories and the program itself.
     pub fn callers(&self) -> usize {
         self.sockets.saturating_sub((self.sockets / 4).clamp(8, 128)).max(8)
     }
+    /// Operators' calls at once, out of the descriptors that callers do not get.
+    pub fn operators(&self) -> usize {
+        (self.rest() / 4).max(2)
+    }
+    fn rest(&self) -> usize {
+        self.sockets - self.callers().min(self.sockets)
+    }
     /// An eighth of the memory, in bytes: for the buffers that are read into, for descriptions of open calls, for what
     /// waits to be written to callers, and for what waits to be written to call servers.
     pub fn eighth(&self) -> usize {
@@ -222,15 +235,25 @@
     if let Some(name) = var("ROUTER_NAME") {
         config.name = name;
     }
-    if let Some(listen) = var("ROUTER_LISTEN") {
-        let listen = listen.parse().map_err(|_| ConfigError::Key {
-            file: file.clone(),
-            key: "ROUTER_LISTEN".to_owned(),
-            why: format!("'{listen}' is no address"),
-        })?;
-        config.listen = Some(listen);
+    let address = |key: &str| {
+        let parse = |text: String| {
+            text.parse().map_err(|_| ConfigError::Key {
+                file: file.clone(),
+                key: key.to_owned(),
+                why: format!("'{text}' is no address"),
+            })
+        };
+        var(key).map(parse).transpose()
+    };
+    config.listen = address("ROUTER_LISTEN")?.or(config.listen);
+    config.console = address("ROUTER_CONSOLE")?.or(config.console);
+    if let Some(descriptor) = var("ROUTER_FD") {
+        let why = format!("'{descriptor}' is no descriptor");
+        let usable = descriptor.parse().ok().filter(|d| *d > 2);
+        let wrong = ConfigError::Key { file: file.clone(), key: "ROUTER_FD".to_owned(), why };
+        config.inherited = Some(usable.ok_or(wrong)?);
     }
-    if config.listen.is_none() {
+    if config.listen.is_none() && config.inherited.is_none() {
         return Err(ConfigError::NotSet("ROUTER_LISTEN"));
     }
     Ok(config)
@@ -258,6 +281,8 @@
     Ok(InstanceConfig {
         name: form.name.unwrap_or_else(|| "lockpoint".to_owned()),
         listen: form.listen,
+        inherited: None,
+        console: form.console,
         peer_listen: form.peer_listen,
         peers: Peers { each: form.peers, all: form.peers_all },
         iax2: None,
@@ -292,6 +317,8 @@
     #[serde(default)]
     listen: Option<SocketAddr>,
     #[serde(default)]
+    console: Option<SocketAddr>,
+    #[serde(default)]
     seed: Option<u64>,
     #[serde(default)]
     limits: Limits,
@@ -363,6 +390,8 @@
     Ok(InstanceConfig {
         name: form.name,
         listen: form.listen,
+        inherited: None,
+        console: form.console,
         peer_listen: None,
         peers: Peers::default(),
         iax2: form.iax2,
--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -1,6 +1,7 @@
 //! Stage 2: what the controller has no room or no list for is refused before the module hears of it.
 
 use crate::core::{Client, Core, Effect, Sid};
+use crate::figures::Ending;
 use crate::interface::Span;
 
 /// Calls of one caller that may be owed an answer at once. Guards against one who asks for hundreds at once and takes
@@ -18,16 +19,22 @@
     }
 
     /// A class that does not exist, a figure out of range: the same again would fare no better.
-    pub(super) fn not_usable(&mut self, client: Client, sid: Sid, out: &mut Vec<Effect>) {
-        self.counts.failed += 1;
+    pub(super) fn not_usable(
+        &mut self,
+        client: Client,
+        sid: Sid,
+        class: Option<usize>,
+        out: &mut Vec<Effect>,
+    ) {
+        self.ends(class, Ending::Failed);
         self.counts.unusable += 1;
         self.remember(sid);
         out.push(Effect::Refuse { client, sid, again: false, wait: Span::default() });
         out.push(Effect::Offended(client));
     }
 
-    pub(super) fn not_admitted(&mut self, client: Client, sid: Sid, out: &mut Vec<Effect>) {
-        self.counts.refused += 1;
+    pub(super) fn not_admitted(&mut self, client: Client, sid: Sid, class: usize, out: &mut Vec<Effect>) {
+        self.ends(Some(class), Ending::Rejected);
         let wait = NO_ROOM_WAIT.min(self.config.settings.max_retry_after);
         self.remember(sid);
         out.push(Effect::Refuse { client, sid, again: true, wait });
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,7 +16,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-use crate::interface::{CallId, Event, ServerId, Settings, Span, Time, Token};
+use crate::figures::{Ending, Figures, Gauges};
+use crate::interface::{CallId, Event, ServerId, ServerState, Settings, Span, Time, Token};
 use crate::rules::Controller;
 use book::Book;
 use deadlines::Deadlines;
@@ -169,12 +170,14 @@
     pub deadlines: Deadlines<Due>,
     events: VecDeque<Event>,
     counts: CoreCounts,
+    figures: Figures,
 }
 
 impl Core {
     /// A core that knows nothing but its settings.
     pub fn new(config: CoreConfig) -> Self {
         let module = Controller::new(config.settings.clone(), config.seed);
+        let figures = Figures::of(&config.classes);
         Self {
             config,
             module,
@@ -192,6 +195,7 @@
             deadlines: Deadlines::default(),
             events: VecDeque::new(),
             counts: CoreCounts::default(),
+            figures,
         }
     }
 
@@ -273,6 +277,34 @@
         self.counts
     }
 
+    /// The requests that have ended.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// What is held at `now`; whom it avoids the module alone knows.
+    pub fn gauges(&self, now: Time) -> Gauges {
+        let listed = self.servers.values().filter(|listed| listed.line.state != ServerState::Gone);
+        Gauges {
+            upstream_requests: 0,
+            pending: self.open.len() + self.book.standing.len(),
+            members: listed.count(),
+            members_unavailable: self.module.avoided(now.max(self.now)),
+        }
+    }
+
+    /// A request has ended: it is booked here and nowhere else.
+    fn ends(&mut self, class: Option<usize>, how: Ending) {
+        match how {
+            Ending::Completed => self.counts.answered += 1,
+            Ending::Rejected => self.counts.refused += 1,
+            Ending::Failed => self.counts.failed += 1,
+        }
+        if let Some(class) = class {
+            self.figures.book(class, how);
+        }
+    }
+
     /// How a call server is spoken to.
     pub fn protocol_of(&self, server: ServerId) -> Option<Protocol> {
         self.servers.get(&server).map(|listed| listed.line.protocol)
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use crate::core::{AttemptError, Client, Core, Effect, Refusal, ServerSays, Sid};
+use crate::figures::Ending;
 use crate::interface::{Attempt, CallId, Cause, Event, LoadReport, Outcome, ServerId, Span};
 
 /// Cause of a call that was ended by its user.
@@ -54,7 +55,7 @@
     fn stands(&mut self, sid: Sid, body: Rc<str>, out: &mut Vec<Effect>) {
         let Some(open) = self.close(sid) else { return };
         let Some(o) = open.out else { return };
-        self.counts.answered += 1;
+        self.ends(Some(open.class), Ending::Completed);
         if let Some(caller) = self.clients.get_mut(&open.client) {
             caller.served = true;
         }
@@ -83,11 +84,7 @@
         // Nothing may stay out for a call that is over.
         self.take_back(sid, Outcome::Cancelled, out);
         let Some(open) = self.close(sid) else { return };
-        if again {
-            self.counts.refused += 1;
-        } else {
-            self.counts.failed += 1;
-        }
+        self.ends(Some(open.class), if again { Ending::Rejected } else { Ending::Failed });
         self.remember(sid);
         out.push(Effect::Refuse { client: open.client, sid, again, wait });
     }
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -31,10 +31,10 @@
         let out_of_range = set_up.left > Span(longest.0.saturating_add(LEFT_SLACK.0))
             || set_up.number.len() + set_up.body.len() > MOST_TEXT;
         let Some(class) = class.filter(|_| !out_of_range) else {
-            return self.not_usable(client, set_up.sid, out);
+            return self.not_usable(client, set_up.sid, class, out);
         };
         if !self.admits(client) {
-            return self.not_admitted(client, set_up.sid, out);
+            return self.not_admitted(client, set_up.sid, class, out);
         }
         let valid_until = self.now.plus(set_up.left.less(WAY_BACK));
         let new = NewCall {
--- /dev/null
+++ b/src/figures.rs
@@ -0,0 +1,75 @@
+//! What operators are shown: requests by class and by how they ended, attempts, and what is held now.
+
+use std::fmt::Write;
+use std::rc::Rc;
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// Served: the call stands.
+    Completed,
+    /// Refused: trying again is harmless.
+    Rejected,
+    /// Failed.
+    Failed,
+}
+
+/// The requests of each class by their ending. Classes come from the settings alone: whatever name a caller makes up
+/// finds no place here.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Figures(Vec<(Rc<str>, [u64; 3])>);
+
+impl Figures {
+    /// Nothing yet, for these classes in the settings' order.
+    pub fn of(classes: &[Rc<str>]) -> Figures {
+        Figures(classes.iter().map(|class| (class.clone(), [0; 3])).collect())
+    }
+
+    /// A request of the class at this place has ended.
+    pub fn book(&mut self, class: usize, how: Ending) {
+        if let Some((_, counts)) = self.0.get_mut(class) {
+            counts[how as usize] += 1;
+        }
+    }
+
+    /// So many of a class ended so.
+    pub fn count(&self, class: &str, how: Ending) -> u64 {
+        self.0.iter().filter(|(name, _)| &**name == class).map(|(_, counts)| counts[how as usize]).sum()
+    }
+}
+
+/// What is held at the moment, and what the wires count.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Gauges {
+    /// Attempts written whole to call servers.
+    pub upstream_requests: u64,
+    /// Requests taken and not ended: those that are owed an answer, and the calls that stand.
+    pub pending: usize,
+    /// Call servers in the list.
+    pub members: usize,
+    /// Those of them that are avoided.
+    pub members_unavailable: usize,
+}
+
+/// The figures as operators read them, one a line.
+pub fn lines(figures: &Figures, gauges: &Gauges) -> String {
+    let mut text = String::new();
+    let mut put = |name: &str, value: u64, kind: char| {
+        let _ = writeln!(text, "controller.{name}:{value}|{kind}");
+    };
+    for (class, counts) in &figures.0 {
+        // A name that would end its line or its field is still one name.
+        let class: String = class
+            .chars()
+            .map(|c| if c.is_ascii_alphanumeric() || "-_".contains(c) { c } else { '_' })
+            .collect();
+        for (how, count) in ["completed", "rejected", "failed"].into_iter().zip(counts) {
+            put(&format!("downstream_requests.{class}.{how}"), *count, 'c');
+        }
+    }
+    put("upstream_requests", gauges.upstream_requests, 'c');
+    put("pending", gauges.pending as u64, 'g');
+    put("members", gauges.members as u64, 'g');
+    put("members_unavailable", gauges.members_unavailable as u64, 'g');
+    text
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,16 +67,19 @@
 
 pub mod cli;
 pub mod config;
+pub mod console;
 pub mod control;
 pub mod core;
 pub mod counters;
 pub mod directory;
+pub mod figures;
 pub mod front;
 pub mod iax2;
 pub mod instance;
 pub mod interface;
 pub mod net;
 pub mod rules;
+pub mod takeover;
 pub mod upstream;
 pub mod window;
 pub mod wire;
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -102,6 +102,29 @@
     }
 }
 
+/// How long the other side may take to end a connection that was ended in order here.
+const PARTS_WITHIN: Duration = Duration::from_millis(500);
+
+/// Ends a connection in order: the other side hears that nothing more comes, and what it still says is thrown away.
+/// Guards against a reset, which a close with bytes unread would be, that destroys what was written last.
+pub async fn part(stream: &TcpStream) {
+    if rustix::net::shutdown(stream, rustix::net::Shutdown::Write).is_err() {
+        return;
+    }
+    let mut chunk = [0; 4096];
+    let rest = async {
+        while stream.readable().await.is_ok() {
+            match stream.try_read(&mut chunk) {
+                Ok(1..) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(0) | Err(_) => return,
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    let _ = tokio::time::timeout(PARTS_WITHIN, rest).await;
+}
+
 async fn by(when: Option<Instant>) {
     match when {
         Some(when) => tokio::time::sleep_until(when).await,
--- a/src/net/queue.rs
+++ b/src/net/queue.rs
@@ -17,19 +17,31 @@
 /// Bytes that may wait on many connections together. Guards against callers who ask much and read nothing: each is
 /// within its bounds, and all together would take the memory that the platform allows.
 #[derive(Debug, Clone)]
-pub struct Budget(Rc<(Cell<usize>, Cell<usize>)>);
+pub struct Budget(Rc<Account>);
+
+#[derive(Debug)]
+struct Account {
+    used: Cell<usize>,
+    most: Cell<usize>,
+    /// Set-ups that have left whole.
+    set_ups: Cell<u64>,
+}
 
 impl Budget {
     /// So many bytes.
     pub fn new(most: usize) -> Self {
-        Self(Rc::new((Cell::new(0), Cell::new(most))))
+        Self(Rc::new(Account { used: Cell::new(0), most: Cell::new(most), set_ups: Cell::new(0) }))
     }
     /// From now on so many.
     pub fn set_most(&self, most: usize) {
-        self.0 .1.set(most);
+        self.0.most.set(most);
+    }
+    /// Set-ups that were written whole.
+    pub fn set_ups_left(&self) -> u64 {
+        self.0.set_ups.get()
     }
     fn take(&self, bytes: usize) -> bool {
-        let (used, most) = &*self.0;
+        let Account { used, most, .. } = &*self.0;
         let fits = used.get() + bytes <= most.get();
         if fits {
             used.set(used.get() + bytes);
@@ -37,7 +49,7 @@
         fits
     }
     fn give_back(&self, bytes: usize) {
-        self.0 .0.set(self.0 .0.get().saturating_sub(bytes));
+        self.0.used.set(self.0.used.get().saturating_sub(bytes));
     }
 }
 
@@ -197,7 +209,14 @@
         while let Some(item) = inner.items.front() {
             match stream.try_write(&item.bytes[inner.left..]) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => self.budget.give_back(inner.wrote(n)),
+                Ok(n) => {
+                    let set_up = u64::from(item.set_up.is_some());
+                    let whole = inner.wrote(n);
+                    if whole > 0 {
+                        self.budget.0.set_ups.set(self.budget.0.set_ups.get() + set_up);
+                    }
+                    self.budget.give_back(whole);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -292,6 +292,16 @@
         }
     }
 
+    /// How many of the listed servers are avoided at `now`: they drain, have no line, or answer nothing.
+    pub fn avoided(&self, now: Time) -> usize {
+        let patience = self.shortest_aim.share(SILENT_FROM);
+        let shunned = |s: &&Server| {
+            let off = s.entry.state == ServerState::Draining || s.lines == Some(0.0);
+            s.entry.state != ServerState::Gone && (off || s.silent || s.unanswered(patience, now))
+        };
+        self.servers.values().filter(shunned).count()
+    }
+
     // ---- The list ------------------------------------------------------------------------
 
     fn on_list(&mut self, kind: ListKind, entries: Vec<ServerEntry>, actions: &mut Vec<Action>) {
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -61,7 +61,7 @@
 /// The example with ports that the system picks.
 fn example() -> String {
     let mut text = EXAMPLE.to_owned();
-    for port in ["2905", "4569", "4570"] {
+    for port in ["2905", "2906", "4569", "4570"] {
         text = text.replace(&format!("127.0.0.1:{port}"), "127.0.0.1:0");
     }
     text
