LAMEDUCK and REJOIN by one drain machine that SIGTERM shares; releases wait for callers

On the way: (1) 217 calls over and untold, and controllers that never came back: releases that waited for a connection were written on the front's own, which only tests, so its tests read something else than their answer; book.rs said them again on each such connection for ever. Now a connection that tests is no caller, and a release is said four times at most. (2) 81 more untold: all connections had ended at 1.8 s; those that carry calls now stay until 3.6 s. Ruled out: REJOIN (it was called and answered) and the console (no call late).

--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -10,7 +10,11 @@
 /// An ended call is remembered this long: a release that crosses ours must not be taken for an unknown call's.
 const REMEMBERED: Span = Span::from_millis(30_000);
 /// A release that found no connection waits this long for one.
-const UNSAID: Span = Span::from_millis(8_000);
+const UNSAID: Span = Span::from_millis(30_000);
+/// A new connection on which nothing is said within this is no test: releases that wait go on it.
+const GREETS: Span = Span::from_millis(50);
+/// A release is said so often at most.
+const MOST_SAID: u8 = 4;
 /// Ended calls and waiting releases kept at most; memory only.
 const MOST_KEPT: usize = 16_384;
 
@@ -27,6 +31,14 @@
     since: Time,
 }
 
+/// A release that a caller is owed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Owed {
+    cause: u16,
+    /// How often it was said.
+    said: u8,
+}
+
 /// Calls that stand, calls that ended lately, releases not yet said.
 #[derive(Debug, Default)]
 pub(super) struct Book {
@@ -35,9 +47,9 @@
     carried: BTreeMap<Client, usize>,
     ended: BTreeMap<Sid, ()>,
     order: VecDeque<Sid>,
-    unsaid: BTreeMap<Sid, (Client, u16)>,
+    unsaid: BTreeMap<Sid, Owed>,
     /// Releases said on a connection whose caller has not confirmed them.
-    unheard: BTreeMap<Sid, (Client, u16)>,
+    unheard: BTreeMap<Sid, (Client, Owed)>,
 }
 
 impl Book {
@@ -103,22 +115,33 @@
 }
 
 impl Core {
-    pub(super) fn client_up(&mut self, client: Client, out: &mut Vec<Effect>) {
+    pub(super) fn client_up(&mut self, client: Client) {
         self.clients.insert(client, Caller::default());
-        if client.front == FrontKind::JsonLines {
-            // Releases that found no connection go on the first that opens.
-            let waiting: Vec<(Sid, u16)> = self
-                .book
-                .unsaid
-                .iter()
-                .filter(|(_, (owner, _))| owner.front == client.front)
-                .map(|(sid, (_, cause))| (*sid, *cause))
-                .collect();
-            for (sid, cause) in waiting {
-                self.book.unsaid.remove(&sid);
-                self.deadlines.clear(&Due::Unsaid(sid));
-                self.say_release(client, sid, cause, out);
-            }
+        if client.front == FrontKind::JsonLines && !self.book.unsaid.is_empty() {
+            self.deadlines.set(self.now.plus(GREETS), Due::Greets(client));
+        }
+    }
+
+    /// Whoever tests is the front, which knows of no calls. Guards against releases that are said to it while callers
+    /// are sent away, and against tests that it takes for failed because of them.
+    pub(super) fn client_tests(&mut self, client: Client) {
+        self.deadlines.clear(&Due::Greets(client));
+        if let Some(caller) = self.clients.get_mut(&client) {
+            caller.tests = !caller.served && caller.owed == 0;
+        }
+    }
+
+    /// A caller is there: releases that found no connection go on its own.
+    pub(super) fn client_speaks(&mut self, client: Client, out: &mut Vec<Effect>) {
+        let Some(caller) = self.clients.get_mut(&client) else { return };
+        caller.tests = false;
+        if self.book.unsaid.is_empty() || client.front != FrontKind::JsonLines {
+            return;
+        }
+        self.deadlines.clear(&Due::Greets(client));
+        for (sid, unsaid) in std::mem::take(&mut self.book.unsaid) {
+            self.deadlines.clear(&Due::Unsaid(sid));
+            self.say_release(client, sid, unsaid.cause, unsaid.said, out);
         }
     }
 
@@ -126,6 +149,7 @@
     /// IAX2 is its call, and ends with it.
     pub(super) fn client_down(&mut self, client: Client, out: &mut Vec<Effect>) {
         self.clients.remove(&client);
+        self.deadlines.clear(&Due::Greets(client));
         let open: Vec<Sid> =
             self.open.iter().filter(|(_, o)| o.client == client).map(|(sid, _)| *sid).collect();
         for sid in open {
@@ -133,10 +157,10 @@
         }
         // Guards against releases that were written on a connection which its caller was just closing.
         let unheard = self.book.unheard.iter().filter(|(_, (on, _))| *on == client);
-        let unheard: Vec<(Sid, u16)> = unheard.map(|(sid, (_, cause))| (*sid, *cause)).collect();
-        for (sid, cause) in unheard {
+        let unheard: Vec<(Sid, Owed)> = unheard.map(|(sid, (_, owed))| (*sid, *owed)).collect();
+        for (sid, owed) in unheard {
             self.book.unheard.remove(&sid);
-            self.say_release(client, sid, cause, out);
+            self.say_release(client, sid, owed.cause, owed.said, out);
         }
         if client.front == FrontKind::Iax2 {
             let standing = self.book.standing.iter().filter(|(_, s)| s.client == client);
@@ -205,7 +229,7 @@
         if self.book.stands_at(sid, server) {
             let Some(s) = self.book.no_longer_stands(sid) else { return };
             self.remember(sid);
-            self.say_release(s.client, sid, cause, out);
+            self.say_release(s.client, sid, cause, 0, out);
             let outcome = if cause == CAUSE_CLEARED { Outcome::Ok } else { Outcome::Reset };
             self.tell_end(s, outcome, &report, out);
             return;
@@ -222,7 +246,7 @@
             self.remember(sid);
             self.counts.unknown_released += 1;
             let nobody = Client { front: FrontKind::JsonLines, no: u64::MAX };
-            self.say_release(nobody, sid, cause, out);
+            self.say_release(nobody, sid, cause, 0, out);
         }
     }
 
@@ -233,18 +257,24 @@
         for sid in cut {
             let Some(s) = self.book.no_longer_stands(sid) else { continue };
             self.remember(sid);
-            self.say_release(s.client, sid, CAUSE_CUT, out);
+            self.say_release(s.client, sid, CAUSE_CUT, 0, out);
             self.tell_end(s, Outcome::Reset, &Report::new(), out);
         }
     }
 
     /// The release goes on the call's own connection, else on any open one of its front, else on the next to open.
-    fn say_release(&mut self, client: Client, sid: Sid, cause: u16, out: &mut Vec<Effect>) {
+    fn say_release(&mut self, client: Client, sid: Sid, cause: u16, said: u8, out: &mut Vec<Effect>) {
+        // Guards against one that is said again and again where each connection goes before it is confirmed.
+        if said >= MOST_SAID {
+            return;
+        }
         let own = self.clients.contains_key(&client).then_some(client);
         let shared = client.front == FrontKind::JsonLines;
         // Guards against a release that is said to whoever came last: it may be one of those who only fill the door.
         let newest = |served: bool| {
-            let fit = |(c, caller): &(&Client, &Caller)| c.front == client.front && caller.served >= served;
+            let fit = |(c, caller): &(&Client, &Caller)| {
+                c.front == client.front && caller.served >= served && !caller.tests
+            };
             self.clients.iter().rfind(fit).map(|(c, _)| *c).filter(|_| shared)
         };
         let any = || newest(true).or_else(|| newest(false));
@@ -252,12 +282,12 @@
             Some(client) => {
                 self.counts.released += 1;
                 if shared && self.book.unheard.len() < MOST_KEPT {
-                    self.book.unheard.insert(sid, (client, cause));
+                    self.book.unheard.insert(sid, (client, Owed { cause, said: said + 1 }));
                 }
                 out.push(Effect::Release(client, sid, cause));
             }
             None if shared && self.book.unsaid.len() < MOST_KEPT => {
-                self.book.unsaid.insert(sid, (client, cause));
+                self.book.unsaid.insert(sid, Owed { cause, said });
                 self.deadlines.set(self.now.plus(UNSAID), Due::Unsaid(sid));
             }
             None => {}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -35,6 +35,8 @@
     Caller(CallId),
     /// An ended call need not be remembered any more.
     Forget(Sid),
+    /// A caller's connection on which nothing was said yet is one for releases that wait.
+    Greets(Client),
     /// Releases that found no connection have waited long enough.
     Unsaid(Sid),
     /// A call server that has left the list may be forgotten.
@@ -141,6 +143,8 @@
     strangers: usize,
     /// Whether a call of it ever stood.
     served: bool,
+    /// Whether it only ever tested.
+    tests: bool,
 }
 
 /// A call server as the directories tell of it.
@@ -163,6 +167,8 @@
     hosts: BTreeMap<(Source, String), ServerId>,
     next_server: u32,
     list_held: bool,
+    /// From then on set-ups are refused: the controller is being emptied.
+    closes_at: Option<Time>,
     /// Callers that are there.
     clients: BTreeMap<Client, Caller>,
     book: Book,
@@ -190,6 +196,7 @@
             hosts: BTreeMap::new(),
             next_server: 0,
             list_held: false,
+            closes_at: None,
             clients: BTreeMap::new(),
             book: Book::default(),
             deadlines: Deadlines::default(),
@@ -203,10 +210,17 @@
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
         self.now = self.now.max(now);
         match input {
-            Input::ClientUp(client) => self.client_up(client, out),
+            Input::ClientUp(client) => self.client_up(client),
             Input::ClientDown(client) => self.client_down(client, out),
-            Input::Open(client, set_up) => self.take_in(client, set_up, out),
-            Input::Close(client, sid, cause) => self.client_closes(client, sid, cause, out),
+            Input::Tested(client) => self.client_tests(client),
+            Input::Open(client, set_up) => {
+                self.client_speaks(client, out);
+                self.take_in(client, set_up, out);
+            }
+            Input::Close(client, sid, cause) => {
+                self.client_speaks(client, out);
+                self.client_closes(client, sid, cause, out);
+            }
             Input::Heard(sid) => self.book.heard(sid),
             Input::Server(server, sid, says) => self.server_says(server, sid, says, out),
             Input::Load(server, report) => self.server_reports(server, report, out),
@@ -228,6 +242,7 @@
                 Due::Caller(call) => self.caller_gives_up(call, out),
                 Due::Forget(sid) => self.book.forget(sid),
                 Due::Gone(server) => self.forget_server(server, out),
+                Due::Greets(client) => self.client_speaks(client, out),
                 Due::Unsaid(sid) => self.book.drop_unsaid(sid),
                 Due::Wire(part, key) => wires.push((part, key)),
             }
@@ -247,6 +262,11 @@
         true
     }
 
+    /// From when on set-ups are refused; `None`: they are taken.
+    pub fn close_at(&mut self, at: Option<Time>) {
+        self.closes_at = at;
+    }
+
     /// Whether a list of call servers is held: the test that the front makes passes.
     pub fn ready(&self) -> bool {
         self.list_held
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -1,6 +1,7 @@
 //! Stage 1: a set-up is read against the settings and gets its place in the table.
 
 use crate::core::{Client, Core, Due, Effect, FrontKind, Open, SetUp, Sid};
+use crate::figures::Ending;
 use crate::interface::{CallId, Event, NewCall, Number, Span, Time};
 
 /// Taken off the caller's wait: what the way to the caller and the turn of the loop may cost. Guards against a
@@ -21,6 +22,8 @@
         if self.book.knows(set_up.sid) {
             // The call stands or is over: its name cannot be another's.
             self.counts.duplicates += 1;
+            let class = self.config.classes.iter().position(|name| *name == set_up.class);
+            self.ends(class, Ending::Failed);
             return out.push(Effect::Refuse { client, sid: set_up.sid, again: false, wait: Span::default() });
         }
         self.counts.taken += 1;
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -198,14 +198,112 @@
     let effects = drive.input(Input::ClientDown(CLIENT));
     assert!(matches!(effects[..], [Effect::Cancel(..), Effect::Settled(_)]), "{effects:?}");
     assert_eq!((drive.core.open_calls(), drive.core.standing_calls()), (0, 1));
-    // Its release waits for a connection, for 8 s.
+    // Its release waits for a caller's connection: for one that says something, or that says nothing for a moment.
     assert!(drive.says(server, 1, ServerSays::Released(16, Report::new())).is_empty());
     drive.pass(7_900);
     let next = Client { no: 2, ..CLIENT };
-    let effects = drive.input(Input::ClientUp(next));
+    assert!(drive.input(Input::ClientUp(next)).is_empty());
+    let effects: Vec<Effect> = drive.pass(60).into_iter().map(|(_, effect)| effect).collect();
     assert!(matches!(effects[..], [Effect::Release(c, _, 16)] if c == next));
 }
 
+/// Guards against releases that are said to the front, which only tests, while callers are sent away: it knows of no
+/// calls, and takes a test for failed that is answered by something else.
+#[test]
+fn a_release_is_never_said_to_whoever_tests_and_is_said_a_bounded_number_of_times() {
+    let mut drive = Drive::new(1);
+    let server = invited(&drive.open(1, 9_000)).expect("sent");
+    drive.says(server, 1, ServerSays::Answered("y".into()));
+    drive.input(Input::ClientDown(CLIENT));
+    let front = Client { no: 2, ..CLIENT };
+    drive.input(Input::ClientUp(front));
+    drive.input(Input::Tested(front));
+    assert!(drive.says(server, 1, ServerSays::Released(16, Report::new())).is_empty());
+    assert!(drive.pass(500).is_empty());
+    let mut said = 0;
+    for no in 3..20 {
+        let caller = Client { no, ..CLIENT };
+        drive.input(Input::ClientUp(caller));
+        let effects = drive.input(Input::Close(caller, Sid::numbered(99), 16));
+        said += effects.iter().filter(|e| matches!(e, Effect::Release(c, ..) if *c == caller)).count();
+        drive.input(Input::ClientDown(caller));
+    }
+    assert_eq!(said, 4);
+}
+
+/// Guards against requests that are booked twice, never, or under another ending: one row for each way to end.
+#[rstest]
+#[case::stands("answered", [1, 0, 0])]
+#[case::refused_by_all("full", [0, 1, 0])]
+#[case::its_number_busy("busy", [0, 1, 0])]
+#[case::time_over("overdue", [0, 0, 1])]
+#[case::the_caller_gave_up("given up", [0, 0, 0])]
+#[case::the_caller_s_connection_went("gone", [0, 0, 0])]
+#[case::no_room("no room", [0, 1, 0])]
+#[case::being_emptied("emptied", [0, 1, 0])]
+#[case::a_figure_out_of_range("too long", [0, 0, 1])]
+#[case::a_class_nobody_knows("no such class", [0, 0, 0])]
+#[case::named_like_one_that_stood("again", [1, 0, 1])]
+fn a_request_is_booked_once_under_its_class(#[case] way: &str, #[case] booked: [u64; 3]) {
+    let mut drive = Drive::new(1);
+    let server = ServerId { address: 1, port: 0 };
+    match way {
+        "no room" => drive.core.config.most_held = 0,
+        "emptied" => drive.core.close_at(Some(drive.now)),
+        _ => {}
+    }
+    match way {
+        "too long" => drop(drive.open(1, 99_000)),
+        "no such class" => {
+            let text = |text: &str| -> Rc<str> { text.into() };
+            let (class, number, body) = (text("made-up"), text("7f"), text("x"));
+            let (sid, left) = (Sid::numbered(1), Span::from_millis(900));
+            let set_up = SetUp { sid, class, left, number, dest: None, redialled: false, body };
+            drive.input(Input::Open(CLIENT, set_up));
+        }
+        _ => drop(drive.open(1, 900)),
+    }
+    let busy = ServerSays::Refused(Refusal::Error, Cause::NumberBusy, Report::new());
+    match way {
+        "answered" | "again" => drop(drive.says(server, 1, ServerSays::Answered("y".into()))),
+        "full" => drop(drive.says(server, 1, full())),
+        "busy" => drop(drive.says(server, 1, busy)),
+        "given up" => drop(drive.input(Input::Close(CLIENT, Sid::numbered(1), 16))),
+        "gone" => drop(drive.input(Input::ClientDown(CLIENT))),
+        _ => {}
+    }
+    if way == "again" {
+        drive.open(1, 900);
+    }
+    drive.pass(5_000);
+    drive.says(server, 1, ServerSays::Released(16, Report::new()));
+    use crate::figures::Ending::{Completed, Failed, Rejected};
+    let figures = drive.core.figures();
+    let got = [Completed, Rejected, Failed].map(|how| figures.count("judge-call", how));
+    assert_eq!(got, booked);
+    assert!(!crate::figures::lines(figures, &drive.core.gauges(drive.now)).contains("made-up"));
+    assert_eq!(drive.core.gauges(drive.now).pending, 0);
+}
+
+/// Guards against gauges that are counted beside what is held.
+#[test]
+fn gauges_show_what_is_held_and_whom_the_module_avoids() {
+    let mut drive = Drive::new(3);
+    let first = invited(&drive.open(1, 9_000)).expect("sent");
+    let gauges = |drive: &Drive| drive.core.gauges(drive.now);
+    let shown = |g: crate::figures::Gauges| (g.pending, g.members, g.members_unavailable);
+    assert_eq!(shown(gauges(&drive)), (1, 3, 0));
+    drive.says(first, 1, ServerSays::Answered("y".into()));
+    drive.open(2, 9_000);
+    assert_eq!(shown(gauges(&drive)), (2, 3, 0), "one stands, one is owed its answer");
+    // The other call's server says nothing.
+    drive.pass(1_000);
+    assert_eq!(gauges(&drive).members_unavailable, 1);
+    let hosts = vec![line("s2", 2, ServerState::Gone, 0), line("s1", 1, ServerState::Draining, 0)];
+    drive.input(Input::List { source: Source::Bulletin, whole: false, hosts });
+    assert_eq!((gauges(&drive).members, gauges(&drive).members_unavailable), (2, 2));
+}
+
 /// Guards against a release written on a connection that its caller was just closing.
 #[test]
 fn a_release_that_was_not_confirmed_is_said_again_when_its_connection_goes() {
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -196,6 +196,8 @@
     ClientUp(Client),
     /// It is gone.
     ClientDown(Client),
+    /// A test came in on it: this is the front that looks after controllers, and no caller.
+    Tested(Client),
     /// A set-up came in on it.
     Open(Client, SetUp),
     /// A caller gives a set-up up or ends its call.
--- /dev/null
+++ b/src/drain.rs
@@ -0,0 +1,201 @@
+//! Sending callers away: working, emptying, working again. No clock and no socket here.
+
+use serde::{Deserialize, Serialize};
+
+use crate::interface::{Span, Time};
+
+/// After a call to empty, new connections come for so long: the front asks every 100 ms, and sends some for 200 ms more.
+const NEW_ONES_COME: Span = Span::from_millis(350);
+/// From then on set-ups are refused and connections that are owed nothing end. Guards against requests that are still
+/// under way when the controller is to be empty.
+const TAKES: Span = Span::from_millis(1_800);
+/// A connection for the releases of calls that stand is kept for so long; by then calls have mostly come to their end.
+const RELEASES: Span = Span::from_millis(3_600);
+/// The same where the process is to end: the front notices that later, and the process is not to stay for long.
+const NEW_ONES_COME_TO_THE_END: Span = Span::from_millis(650);
+const TAKES_TO_THE_END: Span = Span::from_millis(900);
+/// A process that ends waits so long after that for callers to close what it has closed.
+const PARTS: Span = Span::from_millis(500);
+
+/// Where a controller stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub enum Phase {
+    /// It takes what comes.
+    #[default]
+    Working,
+    /// It sends callers away.
+    Emptying {
+        /// Since when.
+        since: Time,
+        /// Whether the process ends then.
+        ends: bool,
+    },
+}
+
+/// What is to become of a caller's connection that is owed nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Door {
+    /// It stays for as long as it would at work.
+    Stays,
+    /// It is to be looked at again then.
+    Again(Time),
+    /// It ends now.
+    Ends,
+}
+
+/// The one machine for `LAMEDUCK`, `REJOIN` and SIGTERM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Drain(Phase);
+
+/// It cannot be brought back: the process is told to end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("this process is about to end")]
+pub struct AboutToEnd;
+
+impl Drain {
+    /// Where it stands.
+    pub fn phase(&self) -> Phase {
+        self.0
+    }
+    /// `LAMEDUCK`. One more changes nothing: the times count from the first.
+    pub fn lameduck(&mut self, now: Time) {
+        if self.0 == Phase::Working {
+            self.0 = Phase::Emptying { since: now, ends: false };
+        }
+    }
+    /// `REJOIN`, also where it never left.
+    pub fn rejoin(&mut self) -> Result<(), AboutToEnd> {
+        if let Phase::Emptying { ends: true, .. } = self.0 {
+            return Err(AboutToEnd);
+        }
+        self.0 = Phase::Working;
+        Ok(())
+    }
+    /// SIGTERM: empties, and the process ends. Counts anew where callers were being sent away already.
+    pub fn end(&mut self, now: Time) {
+        if !matches!(self.0, Phase::Emptying { ends: true, .. }) {
+            self.0 = Phase::Emptying { since: now, ends: true };
+        }
+    }
+    /// Whether tests pass.
+    pub fn works(&self) -> bool {
+        self.0 == Phase::Working
+    }
+    /// From when on set-ups are refused.
+    pub fn refuses_from(&self) -> Option<Time> {
+        match self.0 {
+            Phase::Working => None,
+            Phase::Emptying { since, ends } => Some(since.plus(if ends { TAKES_TO_THE_END } else { TAKES })),
+        }
+    }
+    /// Until when new connections come.
+    pub fn new_ones_until(&self) -> Option<Time> {
+        match self.0 {
+            Phase::Working => None,
+            Phase::Emptying { since, ends } => {
+                Some(since.plus(if ends { NEW_ONES_COME_TO_THE_END } else { NEW_ONES_COME }))
+            }
+        }
+    }
+    /// Looks at a connection that is owed nothing: when it came, and whether a call that stands was asked for on it.
+    pub fn look(&self, came: Time, carries: bool, now: Time) -> Door {
+        let (Some(new_ones), Some(refuses)) = (self.new_ones_until(), self.refuses_from()) else {
+            return Door::Stays;
+        };
+        // One that has just come is given time to say what it came for.
+        let first = new_ones.max(came.plus(NEW_ONES_COME));
+        let last = match self.0 {
+            Phase::Emptying { since, ends: false } => since.plus(RELEASES),
+            _ => refuses,
+        };
+        let until = if carries { last.max(first) } else { first };
+        if until > now {
+            Door::Again(until)
+        } else {
+            Door::Ends
+        }
+    }
+    /// Whether the process may leave: it was told to, nothing more is taken, and all is answered. `gone`: all
+    /// connections have ended. `longest`: what any caller waits; who reads no answers keeps no process from its end.
+    pub fn may_leave(&self, settled: bool, gone: bool, longest: Span, now: Time) -> bool {
+        let Phase::Emptying { ends: true, .. } = self.0 else { return false };
+        let Some(refuses) = self.refuses_from() else { return false };
+        let latest = refuses.plus(longest);
+        now >= latest || (now >= refuses && settled && (gone || now >= refuses.plus(PARTS)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(ms: u64) -> Time {
+        Time(1_000_000 + ms * 1_000)
+    }
+
+    /// Guards against connections that are held for longer than operators allow, and against closing those early on
+    /// which the front still sends.
+    #[test]
+    fn a_connection_that_is_owed_nothing_ends_once_new_ones_have_stopped_coming() {
+        let mut drain = Drain::default();
+        assert_eq!(drain.look(at(0), false, at(99_000)), Door::Stays);
+        drain.lameduck(at(1_000));
+        assert!(!drain.works());
+        let table = [
+            // came, carries, now, what becomes of it
+            (0, false, 1_000, Door::Again(at(1_350))),
+            (0, false, 1_349, Door::Again(at(1_350))),
+            (0, false, 1_350, Door::Ends),
+            (0, true, 1_350, Door::Again(at(4_600))),
+            (0, true, 4_600, Door::Ends),
+            (1_200, false, 1_350, Door::Again(at(1_550))),
+            (1_200, false, 1_550, Door::Ends),
+            (4_500, true, 4_500, Door::Again(at(4_850))),
+            (4_500, true, 4_850, Door::Ends),
+        ];
+        for (came, carries, now, door) in table {
+            assert_eq!(drain.look(at(came), carries, at(now)), door, "{came} {carries} {now}");
+        }
+        assert_eq!(drain.refuses_from(), Some(at(2_800)));
+    }
+
+    /// Guards against a second call that starts the times anew, and against a drain that cannot be called off.
+    #[test]
+    fn both_calls_repeat_and_rejoin_holds_in_the_midst_of_a_drain() {
+        let mut drain = Drain::default();
+        drain.lameduck(at(0));
+        drain.lameduck(at(900));
+        assert_eq!(drain.refuses_from(), Some(at(1_800)));
+        for _ in 0..2 {
+            assert_eq!(drain.rejoin(), Ok(()));
+            assert!(drain.works() && drain.refuses_from().is_none());
+        }
+        drain.lameduck(at(5_000));
+        assert_eq!(drain.refuses_from(), Some(at(6_800)));
+        assert!(!drain.may_leave(true, true, Span::default(), at(99_000)), "it was not told to end");
+    }
+
+    #[test]
+    fn a_process_that_is_told_to_end_leaves_once_all_is_answered_and_stays_gone() {
+        let mut drain = Drain::default();
+        drain.lameduck(at(0));
+        drain.end(at(1_000));
+        drain.end(at(1_500));
+        drain.lameduck(at(1_600));
+        assert_eq!(drain.rejoin(), Err(AboutToEnd));
+        let longest = Span::from_millis(3_000);
+        let table = [
+            // settled, gone, now, leaves
+            (true, true, 1_899, false),
+            (true, true, 1_900, true),
+            (true, false, 1_900, false),
+            (true, false, 2_400, true),
+            (false, true, 2_400, false),
+            (false, false, 4_899, false),
+            (false, false, 4_900, true),
+        ];
+        for (settled, gone, now, leaves) in table {
+            assert_eq!(drain.may_leave(settled, gone, longest, at(now)), leaves, "{settled} {gone} {now}");
+        }
+    }
+}
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -21,6 +21,7 @@
 use crate::core::CAUSE_CLEARED;
 use crate::core::{Client, Core, Effect, FrontKind, HostLine, Input, Protocol, WirePart};
 use crate::counters::Counters;
+use crate::drain::Drain;
 use crate::front::iax2::Callers;
 use crate::front::jsonl;
 use crate::iax2::frame::LONGEST as LONGEST_FRAME;
@@ -38,10 +39,6 @@
 use follow::Followed;
 pub use open::{Bound, StartError};
 
-/// After a request to stop, new connections are taken for so long: the front notices only then.
-const STILL_ACCEPTS: Duration = Duration::from_millis(650);
-/// Requests on connections that are open may come for so long.
-const STILL_TAKES: Duration = Duration::from_millis(900);
 /// A message of a call server must be whole within this from its first byte on. Guards against answers that stop short
 /// and leave all that is open on their connection waiting.
 const WHOLE_WITHIN: Duration = Duration::from_millis(400);
@@ -83,6 +80,7 @@
     peer_socket: Option<Rc<UdpSocket>>,
     peers: Peers,
     tally: Tally,
+    drain: Drain,
 }
 
 /// Counts that belong to no wire's own state.
@@ -123,7 +121,8 @@
     panics: Cell<u64>,
     /// Its tasks are about to be dropped: none may be added.
     ended: Cell<bool>,
-    stopping: Cell<bool>,
+    /// Callers' connections that are ended and wait for the other side.
+    parting: Cell<usize>,
     pool: Pool,
     /// What may wait to be written to all callers.
     caller_bytes: Budget,
@@ -171,14 +170,12 @@
         }
         stop.await;
         self.begin_stop();
-        let stopped = Instant::now();
-        tokio::time::sleep(STILL_ACCEPTS).await;
+        let new_ones_until = self.0.state.borrow().drain.new_ones_until();
+        tokio::time::sleep_until(self.0.clock.until(new_ones_until.unwrap_or_default())).await;
         if let Some(acceptor) = acceptor {
             acceptor.abort();
         }
-        // Guards against callers who do not read their answers and keep the program from ending.
-        let latest = STILL_TAKES + Duration::from_micros(config.core.longest.0);
-        while stopped.elapsed() < STILL_TAKES || (!self.settled() && stopped.elapsed() < latest) {
+        while !self.may_leave(config.core.longest) {
             tokio::time::sleep(LOOK_EVERY).await;
         }
         timer.abort();
@@ -188,15 +185,6 @@
         (state.callers_socket, state.servers_socket, state.peer_socket) = (None, None, None);
     }
 
-    /// Whether no call is owed an answer and all answers are written.
-    fn settled(&self) -> bool {
-        let state = self.0.state.borrow();
-        state.core.open_calls() == 0
-            && state.guests.all_written()
-            && state.callers.all_acked()
-            && state.servers.all_acked()
-    }
-
     /// Its name.
     pub fn name(&self) -> &str {
         &self.0.bound_to.name
@@ -207,16 +195,6 @@
         self.0.state.borrow().core.ready()
     }
 
-    /// From now on tests fail: the controller is about to stop.
-    pub fn begin_stop(&self) {
-        self.0.stopping.set(true);
-    }
-
-    /// Whether the controller was asked to stop.
-    pub fn stopping(&self) -> bool {
-        self.0.stopping.get()
-    }
-
     /// The counts so far.
     pub fn counters(&self) -> Counters {
         let state = self.0.state.borrow();
@@ -453,7 +431,7 @@
                 Effect::Answer(client, sid, body) => match client.front {
                     FrontKind::JsonLines => {
                         self.guests.write(client.no, jsonl::ready(sid, &body));
-                        self.guests.settled(client.no, true, now);
+                        self.settled(client.no, true, now, todo);
                     }
                     FrontKind::Iax2 => self.callers.ready(client.no, &body, now, todo),
                 },
@@ -461,7 +439,7 @@
                     FrontKind::JsonLines => {
                         let cause = if again { jsonl::CAUSE_REFUSED } else { jsonl::CAUSE_FAILED };
                         self.guests.write(client.no, jsonl::close(sid, cause, wait));
-                        self.guests.settled(client.no, true, now);
+                        self.settled(client.no, true, now, todo);
                     }
                     FrontKind::Iax2 => self.callers.refuse(client.no, again, wait, now, todo),
                 },
@@ -475,7 +453,7 @@
                     self.guests.write(no, jsonl::closed(sid));
                 }
                 Effect::Settled(Client { front: FrontKind::JsonLines, no }) => {
-                    self.guests.settled(no, false, now);
+                    self.settled(no, false, now, todo);
                 }
                 Effect::Offended(Client { front: FrontKind::JsonLines, no }) => {
                     if let Some(at) = self.guests.offends(no, true, now) {
--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -7,10 +7,11 @@
 use tokio::task::spawn_local;
 
 use crate::core::{Client, FrontKind, Input, WirePart};
+use crate::drain::Door;
 use crate::front::jsonl::{self, Line, LineError};
 use crate::instance::{Instance, State};
 use crate::interface::{Span, Time};
-use crate::net::conn::{serve, End, Reader, Unreadable};
+use crate::net::conn::{part, serve, End, Reader, Unreadable};
 use crate::net::guests::Look;
 use crate::net::pool::MESSAGE;
 use crate::net::queue::WriteQueue;
@@ -19,6 +20,9 @@
 /// A caller's message must be whole within this from its first byte on.
 const WHOLE_WITHIN: Duration = Duration::from_millis(1_500);
 
+/// Connections that are ended in order, and still wait for the other side, at most; any beyond are just closed.
+const MOST_PARTING: usize = 64;
+
 fn client_of(no: u64) -> Client {
     Client { front: FrontKind::JsonLines, no }
 }
@@ -27,6 +31,13 @@
     /// Looks whether a caller's connection has stayed for too long without use.
     pub(super) fn look_at(&mut self, no: u64, now: Time, todo: &mut Todo) {
         let carries = self.core.carries(client_of(no));
+        if let Some(came) = self.guests.owed_nothing(no) {
+            match self.drain.look(came, carries, now) {
+                Door::Stays => {}
+                Door::Again(at) => return todo.dues.push((at, WirePart::Guests, no)),
+                Door::Ends => return self.guests.finish(no),
+            }
+        }
         match self.guests.look(no, carries, now) {
             Look::Again(at) => todo.dues.push((at, WirePart::Guests, no)),
             Look::Ends => self.tally.expired += 1,
@@ -34,6 +45,16 @@
     }
 }
 
+impl State {
+    /// One of a connection's set-ups needs no answer any more; while callers are sent away it may end then.
+    pub(super) fn settled(&mut self, no: u64, told: bool, now: Time, todo: &mut Todo) {
+        self.guests.settled(no, told, now);
+        if !self.drain.works() {
+            todo.dues.push((now, WirePart::Guests, no));
+        }
+    }
+}
+
 impl Instance {
     /// Accepts callers. Where there is no room left, the connection that needs it least makes room; if all are owed an
     /// answer, the new one is turned away. Guards against callers left waiting at a door that nobody opens.
@@ -43,8 +64,10 @@
                 Ok((stream, _)) => {
                     let room = {
                         let mut state = self.0.state.borrow_mut();
+                        let parting = self.0.parting.get();
                         let State { guests, core, tally, .. } = &mut *state;
-                        let room = guests.has_room() || guests.make_room(|no| core.carries(client_of(no)));
+                        let room =
+                            guests.has_room(parting) || guests.make_room(|no| core.carries(client_of(no)));
                         tally.turned_away += u64::from(!room);
                         room
                     };
@@ -68,11 +91,12 @@
             state.next_client
         };
         // Guards against a panic in reading one connection's bytes that leaves its entry behind.
-        let _gone = Gone { instance: self.clone(), no };
+        let gone = Gone { instance: self.clone(), no };
         let now = self.0.clock.now();
         self.turn(|state, todo| {
             let first_look = state.guests.add(no, queue.clone(), now);
-            todo.dues.push((first_look, WirePart::Guests, no));
+            let until = state.drain.new_ones_until().map_or(first_look, |_| now);
+            todo.dues.push((until, WirePart::Guests, no));
             todo.inputs.push(Input::ClientUp(client_of(no)));
         });
         let mut reader = ClientReader { instance: self.clone(), no };
@@ -80,6 +104,14 @@
         if !matches!(end, End::Closed | End::Ours) {
             self.0.state.borrow_mut().tally.lost += 1;
         }
+        let in_order = end == End::Ours && queue.finished() && self.0.parting.get() < MOST_PARTING;
+        // Nothing more can be said on it: releases go elsewhere from here on.
+        drop(gone);
+        if in_order {
+            self.0.parting.set(self.0.parting.get() + 1);
+            part(&stream).await;
+            self.0.parting.set(self.0.parting.get() - 1);
+        }
     }
 
     fn client_line(&self, no: u64, bytes: &[u8]) {
@@ -95,11 +127,11 @@
                 todo.inputs.push(Input::Close(client, sid, cause));
             }),
             Ok(Line::Closed(sid)) => self.input(Input::Heard(sid)),
-            Ok(Line::Probe(sid)) => {
-                let state = self.0.state.borrow();
-                let passed = state.core.ready() && !self.stopping();
+            Ok(Line::Probe(sid)) => self.turn(|state, todo| {
+                let passed = state.core.ready() && state.drain.works();
                 state.guests.write(no, jsonl::probed(&sid, passed));
-            }
+                todo.inputs.push(Input::Tested(client));
+            }),
             Ok(Line::Other) => {}
             Err(error) => self.turn(|state, todo| {
                 state.tally.lines += 1;
--- a/src/instance/open.rs
+++ b/src/instance/open.rs
@@ -13,6 +13,7 @@
 use crate::config::InstanceConfig;
 use crate::core::Core;
 use crate::counters::Counters;
+use crate::drain::Drain;
 use crate::front::iax2::{Callers, Usual};
 use crate::instance::{BoundTo, Clock, Followed, Instance, Shared, State, Tally};
 use crate::net::guests::Guests;
@@ -100,6 +101,7 @@
             peer_socket,
             peers: config.peers.clone(),
             tally: Tally::default(),
+            drain: Drain::default(),
         };
         let shared = Shared {
             bound_to: BoundTo {
@@ -115,7 +117,7 @@
             rearm: Notify::new(),
             panics: Cell::new(0),
             ended: Cell::new(false),
-            stopping: Cell::new(false),
+            parting: Cell::new(0),
             pool: Pool::new(limits.buffers()),
             caller_bytes,
             server_bytes,
--- a/src/instance/operators.rs
+++ b/src/instance/operators.rs
@@ -5,8 +5,21 @@
 use tokio::net::TcpListener;
 
 use crate::console::{self, Answer, Call};
+use crate::core::WirePart;
+use crate::drain::{AboutToEnd, Drain, Phase};
 use crate::figures::{self, Gauges};
-use crate::instance::Instance;
+use crate::instance::{Instance, State};
+use crate::interface::{Span, Time};
+
+impl State {
+    /// Whether no call is owed an answer and all answers are written.
+    fn all_settled(&self) -> bool {
+        self.core.open_calls() == 0
+            && self.guests.all_written()
+            && self.callers.all_acked()
+            && self.servers.all_acked()
+    }
+}
 
 impl Instance {
     /// Answers operators for good.
@@ -20,10 +33,72 @@
             Call::Ping if self.ready() => Answer::Success("serving", None),
             Call::Ping => Answer::Failure("no list of call servers is held yet".to_owned()),
             Call::Info => Answer::Success("figures follow", Some(self.figures())),
-            Call::Lameduck | Call::Rejoin => Answer::Failure("not yet".to_owned()),
+            Call::Lameduck => {
+                self.lameduck();
+                Answer::Success("emptying", None)
+            }
+            Call::Rejoin => match self.rejoin() {
+                Ok(()) => Answer::Success("working", None),
+                Err(error) => Answer::Failure(error.to_string()),
+            },
         }
     }
 
+    /// Sends callers away: tests fail from now on, what was taken is answered, connections end.
+    pub fn lameduck(&self) {
+        self.drain(|drain, now| drain.lameduck(now));
+    }
+
+    /// Back to work, also in the midst of a drain.
+    pub fn rejoin(&self) -> Result<(), AboutToEnd> {
+        let mut told = Ok(());
+        self.drain(|drain, _| told = drain.rejoin());
+        told
+    }
+
+    /// The same as `lameduck`, but the process is to end and cannot be brought back.
+    pub fn begin_stop(&self) {
+        self.drain(|drain, now| drain.end(now));
+    }
+
+    fn drain(&self, step: impl FnOnce(&mut Drain, Time)) {
+        let now = self.0.clock.now();
+        self.turn(|state, todo| {
+            let before = state.drain;
+            step(&mut state.drain, now);
+            if state.drain == before {
+                return;
+            }
+            state.core.close_at(state.drain.refuses_from());
+            todo.dues.extend(state.guests.numbers().into_iter().map(|no| (now, WirePart::Guests, no)));
+        });
+    }
+
+    /// Where it stands: at work, or sending callers away.
+    pub fn phase(&self) -> Phase {
+        self.0.state.borrow().drain.phase()
+    }
+
+    /// Whether it was asked to stop.
+    pub fn stopping(&self) -> bool {
+        matches!(self.phase(), Phase::Emptying { ends: true, .. })
+    }
+
+    /// Whether all that was taken is answered, and no caller is connected.
+    pub fn empty(&self) -> bool {
+        let state = self.0.state.borrow();
+        state.all_settled() && state.guests.is_empty() && self.0.parting.get() == 0
+    }
+
+    /// Whether the process, told to end, may do so.
+    pub(super) fn may_leave(&self, longest: Span) -> bool {
+        let (settled, drain) = {
+            let state = self.0.state.borrow();
+            (state.all_settled(), state.drain)
+        };
+        drain.may_leave(settled, self.empty(), longest, self.0.clock.now())
+    }
+
     /// The figures, one a line.
     pub fn figures(&self) -> String {
         let state = self.0.state.borrow();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,8 +5,10 @@
 //! that stands still is fine; one that steps back is read as standing still. An event for a call, attempt,
 //! server or token that the controller does not know (any more) is ignored.
 
+use serde::{Deserialize, Serialize};
+
 /// A moment, in microseconds of the caller's own clock.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct Time(pub u64);
 
 impl Time {
@@ -21,7 +23,7 @@
 }
 
 /// A length of time, in microseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct Span(pub u64);
 
 impl Span {
@@ -55,15 +57,15 @@
 }
 
 /// A call, as numbered by the caller; never used twice in the life of a controller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CallId(pub u32);
 
 /// The number of an attempt within its call: 0 for the first [`Action::Send`], then 1, 2 …
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct Attempt(pub u16);
 
 /// A core server's address; it stays the same when its process restarts. Carries no meaning.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ServerId {
     /// Four bytes of address, first byte highest.
     pub address: u32,
@@ -72,15 +74,15 @@
 }
 
 /// A core server's place in the numbering that calls name their destination by.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Cell(pub u16);
 
 /// The number dialled; 0 is none.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Number(pub u64);
 
 /// A timer's name, picked by the controller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Token(pub u32);
 
 /// How often a call of a class may be carried out.
@@ -204,7 +206,7 @@
 }
 
 /// State of a server as the list tells it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
     /// Takes calls.
     Ready,
@@ -215,7 +217,7 @@
 }
 
 /// One line of the list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// Address.
     pub server: ServerId,
@@ -243,7 +245,7 @@
 }
 
 /// A call that has just come in.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct NewCall {
     /// Its id.
     pub call: CallId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod core;
 pub mod counters;
 pub mod directory;
+pub mod drain;
 pub mod figures;
 pub mod front;
 pub mod iax2;
--- a/src/net/guests.rs
+++ b/src/net/guests.rs
@@ -67,9 +67,9 @@
     pub fn set_most(&mut self, most: usize) {
         self.most = most;
     }
-    /// Whether another may come without one having to go.
-    pub fn has_room(&self) -> bool {
-        self.connections.len() < self.most
+    /// Whether another may come without one having to go; `parting`: those whose sockets are closing.
+    pub fn has_room(&self, parting: usize) -> bool {
+        self.connections.len() + parting < self.most
     }
     /// A connection came; when to look at it first.
     pub fn add(&mut self, no: u64, queue: Rc<WriteQueue>, now: Time) -> Time {
@@ -150,6 +150,21 @@
             guest.owed > 0
         })
     }
+    /// The numbers of all.
+    pub fn numbers(&self) -> Vec<u64> {
+        self.connections.keys().copied().collect()
+    }
+    /// When a connection came that is owed nothing now and has not been ended.
+    pub fn owed_nothing(&self, no: u64) -> Option<Time> {
+        let guest = self.connections.get(&no).filter(|g| g.owed == 0 && !g.ending && !g.queue.ends());
+        guest.map(|guest| guest.since)
+    }
+    /// Ends a connection once all is written on it.
+    pub fn finish(&self, no: u64) {
+        if let Some(guest) = self.connections.get(&no) {
+            guest.queue.finish();
+        }
+    }
     /// Writes a line on a connection. One whose caller reads nothing for too long ends.
     pub fn write(&self, no: u64, bytes: Bytes) -> bool {
         let Some(guest) = self.connections.get(&no) else { return false };
@@ -233,7 +248,7 @@
     #[test]
     fn room_is_made_by_the_connection_that_needs_it_least_and_never_by_one_that_is_owed_an_answer() {
         let (mut guests, queues) = guests(4, 4);
-        assert!(!guests.has_room());
+        assert!(!guests.has_room(0));
         for no in [0, 1, 2] {
             guests.owes(no, at(10));
         }
--- a/src/net/queue.rs
+++ b/src/net/queue.rs
@@ -191,6 +191,12 @@
         inner.abort || (inner.finish && inner.items.is_empty())
     }
 
+    /// Whether it was ended in order: all is written, and what the other side said was read to the last.
+    pub(crate) fn finished(&self) -> bool {
+        let inner = self.inner.borrow();
+        inner.finish && !inner.abort && !inner.deaf && inner.items.is_empty()
+    }
+
     pub(crate) async fn changed(&self) {
         self.changed.notified().await;
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -451,6 +451,7 @@
 pub struct Controller {
     pub at: SocketAddr,
     pub iax2_at: Option<SocketAddr>,
+    pub console_at: Option<SocketAddr>,
     pub instance: Instance,
     stop: Rc<Notify>,
     running: JoinHandle<Counters>,
@@ -461,9 +462,10 @@
         let bound = Bound::open(config).await.expect("free ports");
         let stop = Rc::new(Notify::new());
         let (at, iax2_at, instance) = (bound.listens_at(), bound.iax2_at(), bound.handle());
+        let console_at = bound.console_at();
         let stopped = stop.clone();
         let running = spawn_local(bound.run(async move { stopped.notified().await }));
-        Controller { at: at.expect("a port"), iax2_at, instance, stop, running }
+        Controller { at: at.expect("a port"), iax2_at, console_at, instance, stop, running }
     }
 
     /// Starts with one SIP call server for each cell, and waits until the list is held.
