--- a/src/cli.rs
+++ b/src/cli.rs
@@ -10,7 +10,8 @@
 
 use crate::config::{self, ConfigError, InstanceConfig};
 use crate::control::{self, Command, Reply, Request};
-use crate::instance::{Bound, Instance};
+use crate::instance::{Before, Bound, Instance};
+use crate::takeover;
 
 /// Exit code where the program could not do its work.
 const FAILED: u8 = 1;
@@ -160,7 +161,12 @@
         Ok(config) => config,
         Err(error) => return complain(BAD_CONFIG, &error.to_string()),
     };
-    match Bound::open(config).await {
+    // A successor is started beside its predecessor, with the folder that both share.
+    let before = match std::env::var_os("TMPDIR") {
+        Some(dir) => Before::at(takeover::place(dir.as_ref(), &config.name)),
+        None => Before::nobody(),
+    };
+    match Bound::open_after(before, config).await {
         Ok(bound) => {
             let instance = bound.handle();
             let counters = tokio::select! {
--- a/src/config.rs
+++ b/src/config.rs
@@ -195,6 +195,10 @@
 }
 
 impl Limits {
+    /// What is left for one process where another may run beside it for a while, and both count together.
+    pub fn shared(self) -> Limits {
+        Limits { sockets: self.sockets / 2, memory_mb: self.memory_mb / 2 }
+    }
     /// Connections to call servers beyond one for each.
     pub fn links(&self) -> usize {
         (self.rest() - self.operators().min(self.rest())) / 2
@@ -252,6 +256,9 @@
         let usable = descriptor.parse().ok().filter(|d| *d > 2);
         let wrong = ConfigError::Key { file: file.clone(), key: "ROUTER_FD".to_owned(), why };
         config.inherited = Some(usable.ok_or(wrong)?);
+        config.limits = config.limits.shared();
+        config.core.most_held = config.limits.calls(config.core.most_held);
+        config.core.most_bytes = config.limits.eighth();
     }
     if config.listen.is_none() && config.inherited.is_none() {
         return Err(ConfigError::NotSet("ROUTER_LISTEN"));
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -1,5 +1,7 @@
 //! Stage 6: the book of calls that stand and of those that lately ended, and the releases that they owe.
 
+use serde::{Deserialize, Serialize};
+
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::core::relay::{CAUSE_CLEARED, CAUSE_CUT};
@@ -22,7 +24,7 @@
 const MOST_STRANGERS: usize = 256;
 
 /// A call that stands.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(super) struct Standing {
     client: Client,
     server: ServerId,
@@ -32,7 +34,7 @@
 }
 
 /// A release that a caller is owed.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(super) struct Owed {
     cause: u16,
     /// How often it was said.
@@ -40,7 +42,7 @@
 }
 
 /// Calls that stand, calls that ended lately, releases not yet said.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(super) struct Book {
     pub(super) standing: BTreeMap<Sid, Standing>,
     /// How many of them were asked for on each connection.
--- a/src/core/deadlines.rs
+++ b/src/core/deadlines.rs
@@ -1,12 +1,15 @@
 //! One sorted structure for every deadline of an instance: the module's timers, the calls' limits and the wires'
 //! own waits. It is swept once each turn.
 
+use serde::{Deserialize, Serialize};
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::Time;
 
 /// Deadlines in order of time, and of setting where the times are alike.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(bound(deserialize = "K: Ord + Deserialize<'de>"))]
 pub struct Deadlines<K> {
     sorted: BTreeSet<(Time, u64, K)>,
     by_key: BTreeMap<K, (Time, u64)>,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::figures::{Ending, Figures, Gauges};
 use crate::interface::{CallId, Event, ServerId, ServerState, Settings, Span, Time, Token};
 use crate::rules::Controller;
@@ -25,7 +27,7 @@
 pub use types::*;
 
 /// What the core has set deadlines for.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Due {
     /// A timer of the decision module.
     Module(Token),
@@ -46,7 +48,7 @@
 }
 
 /// The wires that keep deadlines here.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum WirePart {
     /// A caller's connection that may have stayed for too long.
     Guests,
@@ -63,7 +65,7 @@
 }
 
 /// What the core is told at its start.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct CoreConfig {
     /// The module's settings.
     pub settings: Settings,
@@ -113,7 +115,7 @@
 }
 
 /// A set-up that is out.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct Out {
     server: ServerId,
     attempt: u16,
@@ -121,7 +123,7 @@
 }
 
 /// A call that is owed its final answer.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Open {
     id: CallId,
     client: Client,
@@ -135,7 +137,7 @@
 }
 
 /// A caller's connection or leg that is there.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 struct Caller {
     /// Calls that it is owed an answer for.
     owed: usize,
@@ -148,14 +150,17 @@
 }
 
 /// A call server as the directories tell of it.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Listed {
     line: HostLine,
     source: Source,
 }
 
-/// One controller's core.
+/// One controller's core. What it holds can be handed on to another process; its settings and counts are each
+/// process's own.
+#[derive(Serialize, Deserialize)]
 pub struct Core {
+    #[serde(skip)]
     config: CoreConfig,
     module: Controller,
     now: Time,
@@ -174,8 +179,11 @@
     book: Book,
     /// All deadlines of the instance, the wires' too.
     pub deadlines: Deadlines<Due>,
+    #[serde(skip)]
     events: VecDeque<Event>,
+    #[serde(skip)]
     counts: CoreCounts,
+    #[serde(skip)]
     figures: Figures,
 }
 
@@ -206,6 +214,19 @@
         }
     }
 
+    /// Goes on with what another process held, by settings of its own; the classes must be the same.
+    pub fn resume(mut self, config: CoreConfig) -> Core {
+        self.module.reconfigure(config.settings.clone());
+        self.figures = Figures::of(&config.classes);
+        self.config = config;
+        self
+    }
+
+    /// Names of the classes, in the module's order.
+    pub fn classes(&self) -> &[Rc<str>] {
+        &self.config.classes
+    }
+
     /// Takes one input and appends what is to be done, in order. A clock that steps back stands still.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
         self.now = self.now.max(now);
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -1,12 +1,14 @@
 //! What the core hears and what it asks for. No wire's form shows here.
 
+use serde::{Deserialize, Serialize};
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use crate::interface::{Cause, Cell, LoadField, ServerId, ServerState, Span, Time};
 
 /// A call's name on the wires: 16 characters, passed on as they came.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Sid(pub [u8; 16]);
 
 impl Sid {
@@ -37,7 +39,7 @@
 }
 
 /// Which front a caller stands at.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum FrontKind {
     /// Many calls share a connection; what concerns a call may go on any of them.
     JsonLines,
@@ -46,7 +48,7 @@
 }
 
 /// A caller's connection or leg.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Client {
     /// Its front.
     pub front: FrontKind,
@@ -55,7 +57,7 @@
 }
 
 /// How a call server is spoken to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Protocol {
     /// SIP over TCP.
     Sip,
@@ -64,7 +66,7 @@
 }
 
 /// Who told of a call server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Source {
     /// The bulletin.
     Bulletin,
@@ -73,7 +75,7 @@
 }
 
 /// A line of a directory.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HostLine {
     /// The call server's name; stays over restarts.
     pub host: String,
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -2,18 +2,19 @@
 
 mod callers;
 mod follow;
+mod handover;
 mod open;
 mod operators;
 mod reload;
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
 
@@ -27,7 +28,7 @@
 use crate::iax2::frame::LONGEST as LONGEST_FRAME;
 use crate::iax2::legs::Outgoing;
 use crate::interface::{ServerId, Time};
-use crate::net::conn::{serve, End, Reader, Unreadable};
+use crate::net::conn::{serve, End, Line, Reader, Unreadable};
 use crate::net::guests::Guests;
 use crate::net::peers::{Peers, LONGEST};
 use crate::net::pool::Pool;
@@ -37,6 +38,8 @@
 use crate::upstream::sip::{LinkEnd, Trunks};
 use crate::upstream::Todo;
 use follow::Followed;
+pub use handover::Before;
+use handover::{Doors, Side, Unfinished};
 pub use open::{Bound, StartError};
 
 /// A message of a call server must be whole within this from its first byte on. Guards against answers that stop short
@@ -53,9 +56,10 @@
 }
 
 impl Clock {
-    fn new() -> Self {
+    /// One that is not behind `least`, which another process of this machine has seen.
+    fn from(least: Time) -> Self {
         let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros());
-        Self { base: u64::try_from(base).unwrap_or(u64::MAX), started: Instant::now() }
+        Self { base: u64::try_from(base).unwrap_or(u64::MAX).max(least.0), started: Instant::now() }
     }
     fn now(&self) -> Time {
         let passed = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
@@ -81,6 +85,8 @@
     peers: Peers,
     tally: Tally,
     drain: Drain,
+    /// The sockets of connections that stand.
+    lines: BTreeMap<(Side, u64), Rc<Line>>,
 }
 
 /// Counts that belong to no wire's own state.
@@ -118,6 +124,8 @@
     state: RefCell<State>,
     /// The earliest deadline has changed.
     rearm: Notify,
+    /// A successor that starts anew asks this process to end.
+    leave: Notify,
     panics: Cell<u64>,
     /// Its tasks are about to be dropped: none may be added.
     ended: Cell<bool>,
@@ -139,15 +147,16 @@
     async fn serve(
         self,
         config: InstanceConfig,
-        listener: Option<TcpListener>,
-        console: Option<TcpListener>,
+        doors: Doors,
+        left: Unfinished,
         stop: impl std::future::Future<Output = ()>,
     ) {
+        self.finish(left);
         self.page(config.known.clone());
         let timer = spawn_local(self.clone().keep_time());
-        let acceptor = listener.map(|listener| spawn_local(self.clone().accept(listener)));
-        if let Some(console) = console {
-            spawn_local(self.clone().hear_operators(Rc::new(console), config.limits.operators()));
+        let acceptor = doors.listener.clone().map(|listener| spawn_local(self.clone().accept(listener)));
+        if let Some(console) = doors.console.clone() {
+            spawn_local(self.clone().hear_operators(console, config.limits.operators()));
         }
         spawn_local(self.clone().follow(self.0.followed.subscribe()));
         let (callers, servers) = {
@@ -168,15 +177,24 @@
         if let Some(socket) = peer_socket {
             spawn_local(self.clone().hear_peers(socket));
         }
-        stop.await;
-        self.begin_stop();
-        let new_ones_until = self.0.state.borrow().drain.new_ones_until();
-        tokio::time::sleep_until(self.0.clock.until(new_ones_until.unwrap_or_default())).await;
-        if let Some(acceptor) = acceptor {
-            acceptor.abort();
-        }
-        while !self.may_leave(config.core.longest) {
-            tokio::time::sleep(LOOK_EVERY).await;
+        let stopped = async {
+            tokio::select! {
+                _ = stop => {}
+                _ = self.0.leave.notified() => {}
+            }
+            self.begin_stop();
+            let new_ones_until = self.0.state.borrow().drain.new_ones_until();
+            tokio::time::sleep_until(self.0.clock.until(new_ones_until.unwrap_or_default())).await;
+            if let Some(acceptor) = &acceptor {
+                acceptor.abort();
+            }
+            while !self.may_leave(config.core.longest) {
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
+        };
+        tokio::select! {
+            _ = stopped => {}
+            _ = self.hand_over(&doors) => {}
         }
         timer.abort();
         // Whoever still holds a handle must not hold the sockets: another process may want the addresses.
@@ -319,17 +337,35 @@
         };
         let end = match how {
             Ok(stream) => {
-                let _ = stream.set_nodelay(true);
-                let now = self.0.clock.now();
-                self.turn(|state, todo| state.sip.link_up(no, now, todo));
-                let mut reader = LinkReader { instance: self.clone(), no };
-                LinkEnd::Ended(serve(&stream, &queue, &self.0.pool, &mut reader).await)
+                let (line, now) = (Rc::new(Line::new(stream)), self.0.clock.now());
+                self.turn(|state, todo| {
+                    state.lines.insert((Side::Server, no), line.clone());
+                    state.sip.link_up(no, now, todo);
+                });
+                self.serve_link(no, &line, &queue).await
             }
             Err(end) => end,
         };
         gone.how.set(end);
     }
 
+    async fn serve_link(&self, no: u64, line: &Line, queue: &WriteQueue) -> LinkEnd {
+        let mut reader = LinkReader { instance: self.clone(), no };
+        LinkEnd::Ended(serve(line, queue, &self.0.pool, &mut reader).await)
+    }
+
+    /// Serves a connection to a call server that came along from a predecessor.
+    async fn resume_link(self, no: u64, line: Rc<Line>) {
+        let Some(queue) = self.0.state.borrow().sip.queue_of(no) else { return };
+        let gone = LinkGone { instance: self.clone(), no, how: Cell::new(LinkEnd::Ended(End::Unreadable)) };
+        gone.how.set(self.serve_link(no, &line, &queue).await);
+    }
+
+    /// A connection to a call server that did not come along.
+    fn link_gone(&self, no: u64) {
+        drop(LinkGone { instance: self.clone(), no, how: Cell::new(LinkEnd::Ended(End::Reset)) });
+    }
+
     async fn hear_iax2(
         self,
         socket: Rc<UdpSocket>,
@@ -383,7 +419,10 @@
     fn drop(&mut self) {
         if self.instance.0.state.try_borrow_mut().is_ok() {
             let now = self.instance.0.clock.now();
-            self.instance.guarded(|state, todo| state.sip.link_ended(self.no, self.how.get(), now, todo));
+            self.instance.guarded(|state, todo| {
+                state.lines.remove(&(Side::Server, self.no));
+                state.sip.link_ended(self.no, self.how.get(), now, todo);
+            });
         }
     }
 }
--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -8,10 +8,11 @@
 
 use crate::core::{Client, FrontKind, Input, WirePart};
 use crate::drain::Door;
-use crate::front::jsonl::{self, Line, LineError};
+use crate::front::jsonl::{self, Line as Said, LineError};
+use crate::instance::handover::Side;
 use crate::instance::{Instance, State};
 use crate::interface::{Span, Time};
-use crate::net::conn::{part, serve, End, Reader, Unreadable};
+use crate::net::conn::{part, serve, End, Line, Reader, Unreadable};
 use crate::net::guests::Look;
 use crate::net::pool::MESSAGE;
 use crate::net::queue::WriteQueue;
@@ -58,7 +59,7 @@
 impl Instance {
     /// Accepts callers. Where there is no room left, the connection that needs it least makes room; if all are owed an
     /// answer, the new one is turned away. Guards against callers left waiting at a door that nobody opens.
-    pub(super) async fn accept(self, listener: TcpListener) {
+    pub(super) async fn accept(self, listener: Rc<TcpListener>) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -72,8 +73,7 @@
                         room
                     };
                     if room {
-                        let _ = stream.set_nodelay(true);
-                        spawn_local(self.clone().client(stream));
+                        self.client(stream);
                     }
                     // A burst of connections must not keep those that are there waiting.
                     tokio::task::yield_now().await;
@@ -83,24 +83,35 @@
         }
     }
 
-    async fn client(self, stream: TcpStream) {
+    /// Puts a new connection on the books and serves it. Both at once, so that a successor finds it there.
+    fn client(&self, stream: TcpStream) {
         let queue = Rc::new(WriteQueue::within(&self.0.caller_bytes));
-        let no = {
-            let mut state = self.0.state.borrow_mut();
-            state.next_client += 1;
-            state.next_client
-        };
-        // Guards against a panic in reading one connection's bytes that leaves its entry behind.
-        let gone = Gone { instance: self.clone(), no };
+        let line = Rc::new(Line::new(stream));
         let now = self.0.clock.now();
+        let mut no = 0;
         self.turn(|state, todo| {
+            state.next_client += 1;
+            no = state.next_client;
+            state.lines.insert((Side::Caller, no), line.clone());
             let first_look = state.guests.add(no, queue.clone(), now);
             let until = state.drain.new_ones_until().map_or(first_look, |_| now);
             todo.dues.push((until, WirePart::Guests, no));
             todo.inputs.push(Input::ClientUp(client_of(no)));
         });
+        self.serve_client(no, line);
+    }
+
+    /// Serves a caller's connection that is on the books.
+    pub(super) fn serve_client(&self, no: u64, line: Rc<Line>) {
+        // Guards against a panic in reading one connection's bytes that leaves its entry behind.
+        let gone = Gone { instance: self.clone(), no };
+        spawn_local(self.clone().talk(no, line, gone));
+    }
+
+    async fn talk(self, no: u64, line: Rc<Line>, gone: Gone) {
+        let Some(queue) = self.0.state.borrow().guests.queue_of(no) else { return };
         let mut reader = ClientReader { instance: self.clone(), no };
-        let end = serve(&stream, &queue, &self.0.pool, &mut reader).await;
+        let end = serve(&line, &queue, &self.0.pool, &mut reader).await;
         if !matches!(end, End::Closed | End::Ours) {
             self.0.state.borrow_mut().tally.lost += 1;
         }
@@ -109,30 +120,39 @@
         drop(gone);
         if in_order {
             self.0.parting.set(self.0.parting.get() + 1);
-            part(&stream).await;
+            part(line.stream()).await;
             self.0.parting.set(self.0.parting.get() - 1);
         }
     }
 
+    /// A caller's connection has ended.
+    pub(super) fn client_gone(&self, no: u64) {
+        self.guarded(|state, todo| {
+            state.lines.remove(&(Side::Caller, no));
+            state.guests.remove(no);
+            todo.inputs.push(Input::ClientDown(client_of(no)));
+        });
+    }
+
     fn client_line(&self, no: u64, bytes: &[u8]) {
         let client = client_of(no);
         let now = self.0.clock.now();
         match jsonl::parse(bytes) {
-            Ok(Line::Open(set_up)) => self.turn(|state, todo| {
+            Ok(Said::Open(set_up)) => self.turn(|state, todo| {
                 state.guests.owes(no, now);
                 todo.inputs.push(Input::Open(client, set_up));
             }),
-            Ok(Line::Close(sid, cause)) => self.turn(|state, todo| {
+            Ok(Said::Close(sid, cause)) => self.turn(|state, todo| {
                 state.guests.heard(no, now);
                 todo.inputs.push(Input::Close(client, sid, cause));
             }),
-            Ok(Line::Closed(sid)) => self.input(Input::Heard(sid)),
-            Ok(Line::Probe(sid)) => self.turn(|state, todo| {
+            Ok(Said::Closed(sid)) => self.input(Input::Heard(sid)),
+            Ok(Said::Probe(sid)) => self.turn(|state, todo| {
                 let passed = state.core.ready() && state.drain.works();
                 state.guests.write(no, jsonl::probed(&sid, passed));
                 todo.inputs.push(Input::Tested(client));
             }),
-            Ok(Line::Other) => {}
+            Ok(Said::Other) => {}
             Err(error) => self.turn(|state, todo| {
                 state.tally.lines += 1;
                 let answerable = match &error {
@@ -160,10 +180,7 @@
 impl Drop for Gone {
     fn drop(&mut self) {
         if self.instance.0.state.try_borrow_mut().is_ok() {
-            self.instance.guarded(|state, todo| {
-                state.guests.remove(self.no);
-                todo.inputs.push(Input::ClientDown(client_of(self.no)));
-            });
+            self.instance.client_gone(self.no);
         }
     }
 }
--- a/src/instance/open.rs
+++ b/src/instance/open.rs
@@ -1,12 +1,13 @@
 //! Opening a controller: its sockets are bound or inherited before it takes anything.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket, UnixListener};
 use tokio::sync::{watch, Notify};
 use tokio::task::LocalSet;
 
@@ -15,6 +16,7 @@
 use crate::counters::Counters;
 use crate::drain::Drain;
 use crate::front::iax2::{Callers, Usual};
+use crate::instance::handover::{Before, Doors, Unfinished};
 use crate::instance::{BoundTo, Clock, Followed, Instance, Shared, State, Tally};
 use crate::net::guests::Guests;
 use crate::net::pool::Pool;
@@ -50,28 +52,37 @@
 pub struct Bound {
     instance: Instance,
     config: InstanceConfig,
-    listener: Option<TcpListener>,
-    console: Option<TcpListener>,
+    doors: Doors,
+    left: Unfinished,
 }
 
 impl Bound {
     /// Opens what the controller listens at.
     pub async fn open(config: InstanceConfig) -> Result<Bound, StartError> {
+        Bound::open_after(Before::nobody(), config).await
+    }
+
+    /// The same beside a predecessor, whose place it takes once all else is there. Guards against callers left without
+    /// a controller by a successor that could not serve.
+    pub async fn open_after(mut before: Before, config: InstanceConfig) -> Result<Bound, StartError> {
+        let somebody = before.somebody();
+        // An address that the predecessor holds comes along with all the rest.
+        let unless_held = |error: &io::Error| somebody && error.kind() == io::ErrorKind::AddrInUse;
         let fail = |key, address| move |why| StartError::Listen { key, address, why };
         let listener = match (config.inherited, config.listen) {
             (Some(descriptor), _) => {
                 let taken = takeover::inherited(descriptor).and_then(TcpListener::from_std);
                 Some(taken.map_err(|why| StartError::Inherited { descriptor, why })?)
             }
-            (None, Some(address)) => Some(listen(address).map_err(fail("listen", address))?),
+            (None, Some(address)) => opened(listen(address), unless_held).map_err(fail("listen", address))?,
             (None, None) => None,
         };
         let console = match config.console {
-            Some(address) => Some(listen(address).map_err(fail("console", address))?),
+            Some(address) => opened(listen(address), unless_held).map_err(fail("console", address))?,
             None => None,
         };
         let peer_socket = match config.peer_listen {
-            Some(at) => Some(Rc::new(UdpSocket::bind(at).await.map_err(fail("peer_listen", at))?)),
+            Some(at) => opened(UdpSocket::bind(at).await, unless_held).map_err(fail("peer_listen", at))?,
             None => None,
         };
         let (callers_socket, servers_socket) = match &config.iax2 {
@@ -83,6 +94,19 @@
             }
             None => (None, None),
         };
+        let mut inherited = before.inherit(&config);
+        let mut given = inherited.as_mut();
+        let listener = listener.or_else(|| given.as_mut().and_then(|all| all.listener.take()));
+        let console = console.or_else(|| given.as_mut().and_then(|all| all.console.take()));
+        let peer_socket =
+            peer_socket.or_else(|| given.as_mut().and_then(|all| all.peers.take())).map(Rc::new);
+        for (key, address, open) in
+            [("listen", config.listen, listener.is_some()), ("console", config.console, console.is_some())]
+        {
+            if let Some(address) = address.filter(|_| !open) {
+                return Err(fail(key, address)(io::ErrorKind::AddrInUse.into()));
+            }
+        }
         let limits = config.limits;
         let (caller_bytes, server_bytes) = (Budget::new(limits.eighth()), Budget::new(limits.eighth()));
         let state = State {
@@ -102,6 +126,7 @@
             peers: config.peers.clone(),
             tally: Tally::default(),
             drain: Drain::default(),
+            lines: BTreeMap::new(),
         };
         let shared = Shared {
             bound_to: BoundTo {
@@ -112,9 +137,10 @@
             },
             followed: watch::Sender::new(Followed::of(&config)),
             after: Cell::new(0),
-            clock: Clock::new(),
+            clock: Clock::from(inherited.as_ref().map(|all| all.now()).unwrap_or_default()),
             state: RefCell::new(state),
             rearm: Notify::new(),
+            leave: Notify::new(),
             panics: Cell::new(0),
             ended: Cell::new(false),
             parting: Cell::new(0),
@@ -123,7 +149,20 @@
             server_bytes,
             connect_timeout: Duration::from_micros(config.connect_timeout.0),
         };
-        Ok(Bound { instance: Instance(Rc::new(shared)), config, listener, console })
+        let instance = Instance(Rc::new(shared));
+        let left = inherited.map(|all| instance.inherit(all, &config)).unwrap_or_default();
+        // From here on a successor may ask for what is held.
+        let heirs = before.place().and_then(|place| {
+            match takeover::wait_at(place).and_then(UnixListener::from_std) {
+                Ok(heirs) => Some(heirs),
+                Err(error) => {
+                    eprintln!("lockpoint: no successor can take over at {}: {error}", place.display());
+                    None
+                }
+            }
+        });
+        let doors = Doors { listener: listener.map(Rc::new), console: console.map(Rc::new), heirs };
+        Ok(Bound { instance, config, doors, left })
     }
 
     /// A handle for whoever wants to look on.
@@ -133,12 +172,12 @@
 
     /// Where JSON-lines callers connect.
     pub fn listens_at(&self) -> Option<SocketAddr> {
-        self.listener.as_ref().and_then(|l| l.local_addr().ok())
+        self.doors.listener.as_ref().and_then(|l| l.local_addr().ok())
     }
 
     /// Where operators call.
     pub fn console_at(&self) -> Option<SocketAddr> {
-        self.console.as_ref().and_then(|l| l.local_addr().ok())
+        self.doors.console.as_ref().and_then(|l| l.local_addr().ok())
     }
 
     /// Where IAX2 callers send to.
@@ -150,12 +189,21 @@
     /// Serves until `stop`, then finishes what was taken.
     pub async fn run(self, stop: impl std::future::Future<Output = ()>) -> Counters {
         let local = LocalSet::new();
-        let Bound { instance, config, listener, console } = self;
-        local.run_until(instance.clone().serve(config, listener, console, stop)).await;
+        let Bound { instance, config, doors, left } = self;
+        local.run_until(instance.clone().serve(config, doors, left, stop)).await;
         instance.counters()
     }
 }
 
+/// What was opened; `None`: its place is held by the predecessor.
+fn opened<S>(tried: io::Result<S>, held: impl Fn(&io::Error) -> bool) -> io::Result<Option<S>> {
+    match tried {
+        Ok(socket) => Ok(Some(socket)),
+        Err(error) if held(&error) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // A restart takes the address over from a process that has just gone.
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -1,5 +1,6 @@
 //! One TCP connection: reads into a pooled buffer, writes from its queue, until either side ends it.
 
+use std::cell::RefCell;
 use std::io;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::net::pool::{Buffer, Pool};
+use crate::net::pool::{Buffer, Pool, BUFFER};
 use crate::net::queue::WriteQueue;
 
 /// How a connection ended.
@@ -48,12 +49,49 @@
     fn patience(&self) -> Duration;
 }
 
+/// A connection's socket, and the part of a message that was read from it.
+#[derive(Debug)]
+pub struct Line {
+    stream: TcpStream,
+    part: RefCell<Option<Buffer>>,
+}
+
+impl Line {
+    /// One that has just been made.
+    pub fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        Self { stream, part: RefCell::default() }
+    }
+    /// One that another process has read from; `None`: there is no buffer for what it had read.
+    pub fn resumed(stream: TcpStream, read: &[u8], pool: &Pool) -> Option<Self> {
+        let line = Self::new(stream);
+        if !read.is_empty() {
+            let mut buffer = pool.take().filter(|_| read.len() <= BUFFER)?;
+            buffer.room()[..read.len()].copy_from_slice(read);
+            buffer.add(read.len());
+            *line.part.borrow_mut() = Some(buffer);
+        }
+        Some(line)
+    }
+    /// The socket.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+    /// What has been read and belongs to no whole message yet.
+    pub fn read_so_far(&self) -> Vec<u8> {
+        self.part.borrow().as_ref().map(|buffer| buffer.filled().to_vec()).unwrap_or_default()
+    }
+}
+
 /// Serves a connection until it ends.
-pub async fn serve(stream: &TcpStream, queue: &WriteQueue, pool: &Pool, reader: &mut impl Reader) -> End {
-    let mut buffer: Option<Buffer> = None;
+pub async fn serve(line: &Line, queue: &WriteQueue, pool: &Pool, reader: &mut impl Reader) -> End {
+    let stream = &line.stream;
     let mut reading = true;
     // Until when the message that has begun must be whole.
     let mut whole_by: Option<Instant> = None;
+    if line.part.borrow().is_some() {
+        whole_by = Some(Instant::now() + reader.patience());
+    }
     loop {
         if queue.may_write() {
             if let Err(error) = queue.write_to(stream) {
@@ -64,7 +102,8 @@
             return End::Ours;
         }
         if queue.deaf() {
-            (reading, buffer, whole_by) = (false, None, None);
+            (reading, whole_by) = (false, None);
+            line.part.replace(None);
         }
         let interest = match (reading, !queue.may_write()) {
             (true, true) => Interest::READABLE,
@@ -83,7 +122,7 @@
         };
         match ready {
             Ok(ready) if reading && (ready.is_readable() || ready.is_read_closed() || ready.is_error()) => {
-                match read_some(stream, &mut buffer, pool, reader) {
+                match read_some(line, pool, reader) {
                     Ok(Read::Whole) => whole_by = None,
                     Ok(Read::Part { anew: true }) => whole_by = Some(Instant::now() + reader.patience()),
                     Ok(Read::Part { anew: false }) => {
@@ -142,17 +181,12 @@
     End,
 }
 
-fn read_some(
-    stream: &TcpStream,
-    held: &mut Option<Buffer>,
-    pool: &Pool,
-    reader: &mut impl Reader,
-) -> Result<Read, End> {
-    let mut buffer = match held.take() {
+fn read_some(line: &Line, pool: &Pool, reader: &mut impl Reader) -> Result<Read, End> {
+    let mut buffer = match line.part.take() {
         Some(buffer) => buffer,
         None => pool.take().ok_or(End::NoBuffer)?,
     };
-    match stream.try_read(buffer.room()) {
+    match line.stream.try_read(buffer.room()) {
         Ok(0) => return Ok(Read::End),
         Ok(n) => buffer.add(n),
         Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
@@ -169,7 +203,7 @@
     if !pool.may_keep() {
         return Err(End::NoBuffer);
     }
-    *held = Some(buffer);
+    *line.part.borrow_mut() = Some(buffer);
     Ok(Read::Part { anew: used > 0 })
 }
 
--- a/src/net/guests.rs
+++ b/src/net/guests.rs
@@ -1,13 +1,15 @@
 //! Callers' connections: how many there may be, how long each may stay without use, and which goes when room is short.
 //! No socket here: a connection is a number with a queue.
 
+use serde::{Deserialize, Serialize};
+
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use bytes::Bytes;
 
 use crate::interface::{Span, Time};
-use crate::net::queue::WriteQueue;
+use crate::net::queue::{Budget, WriteQueue};
 
 /// A connection on which nothing was asked that got an answer ends after this. Guards against connections that say
 /// nothing and fill the controller; they are owed their end within 3 s.
@@ -24,7 +26,7 @@
 const MOST_STRIKES: u32 = 4;
 
 /// One caller's connection.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Guest {
     queue: Rc<WriteQueue>,
     /// When it came.
@@ -52,7 +54,7 @@
 }
 
 /// The connections of callers.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Guests {
     connections: BTreeMap<u64, Guest>,
     most: usize,
@@ -63,6 +65,20 @@
     pub fn new(most: usize) -> Self {
         Self { connections: BTreeMap::new(), most }
     }
+    /// Goes on with what another process held, with room for so many.
+    pub fn resume(mut self, most: usize, budget: &Budget) -> Self {
+        self.most = most;
+        for guest in self.connections.values_mut() {
+            if let Some(queue) = Rc::get_mut(&mut guest.queue) {
+                queue.adopt(budget);
+            }
+        }
+        self
+    }
+    /// The queue of a connection, for whoever serves its socket.
+    pub fn queue_of(&self, no: u64) -> Option<Rc<WriteQueue>> {
+        self.connections.get(&no).map(|guest| guest.queue.clone())
+    }
     /// From now on there is room for so many; those beyond end as they would for others.
     pub fn set_most(&mut self, most: usize) {
         self.most = most;
--- a/src/net/queue.rs
+++ b/src/net/queue.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -61,7 +62,7 @@
 }
 
 /// A message that waits.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Item {
     /// Its bytes.
     pub bytes: Bytes,
@@ -77,13 +78,26 @@
     budget: Budget,
 }
 
+impl Serialize for WriteQueue {
+    fn serialize<S: serde::Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        self.inner.borrow().serialize(to)
+    }
+}
+
+impl<'de> Deserialize<'de> for WriteQueue {
+    fn deserialize<D: serde::Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let inner = RefCell::new(Inner::deserialize(from)?);
+        Ok(Self { inner, changed: Notify::new(), budget: Budget::default() })
+    }
+}
+
 impl Drop for WriteQueue {
     fn drop(&mut self) {
         self.budget.give_back(self.inner.get_mut().waiting);
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 struct Inner {
     items: VecDeque<Item>,
     /// Bytes of the first item that have left.
@@ -101,6 +115,14 @@
         Self { budget: budget.clone(), inner: RefCell::default(), changed: Notify::default() }
     }
 
+    /// From now on what waits counts against this budget. It was within another's, so that it is never too much.
+    pub fn adopt(&mut self, budget: &Budget) {
+        let waiting = self.inner.get_mut().waiting;
+        self.budget.give_back(waiting);
+        self.budget = budget.clone();
+        budget.0.used.set(budget.0.used.get() + waiting);
+    }
+
     /// Appends a message; `false` if it would wait behind too many others.
     pub fn push(&self, bytes: Bytes, set_up: Option<Sid>) -> bool {
         let mut inner = self.inner.borrow_mut();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,6 +11,7 @@
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
 
 use crate::interface::{
     Action, Attempt, AttemptEnd, CallId, Cause, ClassSettings, Event, ListKind, LoadField, LoadReport,
@@ -106,7 +107,7 @@
 const WATCH_AGAIN: Span = Span::from_millis(1_000);
 
 /// A set-up that is out at a server.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct Out {
     call: CallId,
     attempt: Attempt,
@@ -114,7 +115,7 @@
 }
 
 /// What this gateway knows of a core server.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Server {
     entry: ServerEntry,
     counts: Window,
@@ -184,7 +185,7 @@
 }
 
 /// Where a call is.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 enum Stage {
     /// An attempt is out.
     Out { server: ServerId, attempt: Attempt, sent: Time },
@@ -193,7 +194,7 @@
 }
 
 /// A call that is owed its final answer.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Call {
     new: NewCall,
     came: Time,
@@ -210,7 +211,7 @@
 }
 
 /// What a timer is for.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 enum Wake {
     LastAnswer(CallId),
     Review(CallId, Attempt),
@@ -219,8 +220,9 @@
 }
 
 /// The decisions of one gateway.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Controller {
+    #[serde(skip)]
     settings: Settings,
     rng: Pcg32,
     now: Time,
@@ -238,6 +240,7 @@
     /// Accepts of all servers together, and the most a second that one took on average.
     taken: Window,
     usual_rate: f64,
+    #[serde(skip)]
     logged: BTreeMap<&'static str, Time>,
     began: Option<Time>,
 }
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::core::{AttemptError, Broken, Input, Progress, ServerSays, Sid, WirePart};
 use crate::interface::{ServerId, Span, Time};
@@ -55,7 +56,7 @@
 }
 
 /// A set-up on a connection.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct SetUpOut {
     /// The number called.
     number: Rc<str>,
@@ -65,7 +66,7 @@
     since: Time,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Link {
     queue: Rc<WriteQueue>,
     /// Since when it stands.
@@ -80,7 +81,7 @@
     speaks: bool,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Trunk {
     dial: SocketAddr,
     links: BTreeMap<u64, Link>,
@@ -119,16 +120,29 @@
     pub stale: u64,
 }
 
+/// What a process goes on with.
+pub struct Resumed {
+    /// All of it.
+    pub trunks: Trunks,
+    /// Connections to be made.
+    pub to_make: Vec<(u64, SocketAddr)>,
+    /// Connections that have ended on the way.
+    pub lost: Vec<u64>,
+}
+
 /// All SIP call servers.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Trunks {
     trunks: BTreeMap<ServerId, Trunk>,
     of_link: BTreeMap<u64, ServerId>,
     next_link: u64,
+    #[serde(skip)]
     budget: Budget,
     /// Connections to all call servers together, beyond one each.
+    #[serde(skip)]
     most_links: usize,
     /// What was done so far.
+    #[serde(skip)]
     pub counts: SipCounts,
 }
 
@@ -139,6 +153,26 @@
         Self { budget: budget.clone(), most_links, ..Self::default() }
     }
 
+    /// Goes on with what another process held. Returns the connections that it had not made yet: their numbers and
+    /// where to. `stands`: whether the socket of one has come along; one without it has ended.
+    pub fn resume(mut self, budget: &Budget, most_links: usize, stands: impl Fn(u64) -> bool) -> Resumed {
+        (self.budget, self.most_links) = (budget.clone(), most_links);
+        let (mut to_make, mut lost) = (Vec::new(), Vec::new());
+        for trunk in self.trunks.values_mut() {
+            for (no, link) in &mut trunk.links {
+                if let Some(queue) = Rc::get_mut(&mut link.queue) {
+                    queue.adopt(budget);
+                }
+                match link.up {
+                    None => to_make.push((*no, trunk.dial)),
+                    Some(_) if !stands(*no) => lost.push(*no),
+                    Some(_) => {}
+                }
+            }
+        }
+        Resumed { trunks: self, to_make, lost }
+    }
+
     /// From now on so many connections may be made beyond one for each call server.
     pub fn set_most_links(&mut self, most_links: usize) {
         self.most_links = most_links;
--- a/src/window.rs
+++ b/src/window.rs
@@ -1,11 +1,13 @@
 //! A sliding count of requests and accepts. Mechanical: every number is passed in.
 
+use serde::{Deserialize, Serialize};
+
 use std::collections::VecDeque;
 
 use crate::interface::{Span, Time};
 
 /// Requests and accepts of the last `span`.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Window {
     span: Span,
     entries: VecDeque<(Time, u32, u32)>,
