Test the takeover with two real processes, and that a core may change hands at any input

A word 'Held' that finds nobody no longer hides the predecessor's last one (seen by the test of the last word: the write broke, and a successor would have started blind).

--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -78,6 +78,12 @@
         let dest = Some(Cell(0));
         self.input(Input::Open(CLIENT, SetUp { sid, class, left, number, dest, redialled: false, body }))
     }
+    /// Another process goes on with it.
+    fn change_hands(&mut self) {
+        let held = rmp_serde::to_vec_named(&self.core).expect("written");
+        let core: Core = rmp_serde::from_slice(&held).expect("read");
+        self.core = core.resume(self.core.config.clone());
+    }
     fn says(&mut self, server: ServerId, n: u64, says: ServerSays) -> Vec<Effect> {
         self.input(Input::Server(server, Sid::numbered(n), says))
     }
@@ -285,6 +291,64 @@
     assert_eq!(drive.core.gauges(drive.now).pending, 0);
 }
 
+/// Calls at three call servers, of which one fails some, one is silent and one has just started; all that was asked of
+/// the wires, in order. `hands`: after each input another process goes on.
+fn story(hands: bool) -> Vec<String> {
+    let mut drive = Drive::new(2);
+    let mut config = drive.core.config.clone();
+    (config.most_held, config.settings.cold, config.settings.cold_share) =
+        (999, Span::from_millis(14_000), 0.36);
+    (config.settings.overload_factor, config.settings.overload_time) = (2.5, Span::from_millis(1_000));
+    assert!(drive.core.reconfigure(config));
+    let hosts = vec![line("s2", 2, ServerState::Ready, drive.now.0 / 1_000)];
+    drive.input(Input::List { source: Source::Bulletin, whole: false, hosts });
+    let mut told = Vec::new();
+    for n in 1..250 {
+        let mut waiting: VecDeque<Effect> = drive.open(n, 3_000).into();
+        waiting.extend(drive.pass(25).into_iter().map(|(_, effect)| effect));
+        if n % 7 == 0 {
+            waiting.extend(drive.input(Input::Close(CLIENT, Sid::numbered(n / 2), 16)));
+        }
+        while let Some(effect) = waiting.pop_front() {
+            if hands {
+                drive.change_hands();
+            }
+            if let Effect::Invite { server, sid, .. } = &effect {
+                let says = match (server.address, sid.0[15] % 4) {
+                    (1, 0) => Some(full()),
+                    (1 | 3, _) => Some(ServerSays::Answered("y".into())),
+                    _ => None,
+                };
+                if let Some(says) = says {
+                    drive.now = drive.now.plus(Span::from_millis(3));
+                    waiting.extend(drive.input(Input::Server(*server, *sid, says)));
+                }
+            }
+            // What was logged lately is each process's own.
+            if !matches!(effect, Effect::Log(_)) {
+                told.push(format!("{:?} {effect:?}", drive.now));
+            }
+        }
+    }
+    told
+}
+
+/// Guards against a successor that starts blind: windows, waits, who is silent, a cold server's rights, attempts made
+/// and the time of a release all change hands, or it would send what the predecessor would not have sent.
+#[test]
+fn a_core_that_changes_hands_after_every_input_does_what_it_would_have_done() {
+    let told = story(false);
+    let count = |what: &str| told.iter().filter(|line| line.contains(what)).count();
+    assert!(count("Invite") > 200 && count("Cancel") > 3 && count("Refuse") > 10, "a story with troubles");
+    assert!(
+        (5..150).contains(&count("Invite { server: ServerId { address: 3")),
+        "rights of a cold server are few"
+    );
+    let other = story(true);
+    let differs = told.iter().zip(&other).position(|(one, other)| one != other);
+    assert_eq!((differs, told.len()), (None, other.len()), "{:?}", differs.map(|at| (&told[at], &other[at])));
+}
+
 /// Guards against gauges that are counted beside what is held.
 #[test]
 fn gauges_show_what_is_held_and_whom_the_module_avoids() {
--- a/src/takeover.rs
+++ b/src/takeover.rs
@@ -248,7 +248,13 @@
 
     /// Says that all of it can be used; when this says yes, it is this process's.
     pub fn take(&mut self) -> Result<(), TakeoverError> {
-        self.say(Kind::Held, b"")?;
+        // Where nobody is there any more to hear it, the last word that was said there still counts.
+        match self.say(Kind::Held, b"") {
+            Err(TakeoverError::Broken(error)) if error.kind() != io::ErrorKind::BrokenPipe => {
+                return Err(error.into());
+            }
+            _ => {}
+        }
         match self.hear() {
             Ok((kind, _)) if kind == Kind::Yours as u8 => Ok(()),
             Ok(_) => Err(TakeoverError::Kept),
--- /dev/null
+++ b/tests/takeover.rs
@@ -0,0 +1,387 @@
+//! One process takes over from another under traffic: two real programs, and stand-ins for all others.
+
+mod support;
+
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsRawFd;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use lockpoint::takeover::{self, Kind, TakeoverError, Way};
+use rstest::rstest;
+use serde_json::json;
+use support::{host, name, on_one_thread, settings, Bulletin, Caller, Does, Seen, SipServer, What, World};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// The platform's side of a controller: its folder, its listening socket, its call server and bulletin.
+struct Place {
+    world: World,
+    dir: PathBuf,
+    held: TcpListener,
+    bulletin: Rc<Bulletin>,
+    server: Rc<SipServer>,
+    no: usize,
+    consoles: Cell<u8>,
+}
+
+impl Place {
+    async fn new(test: &str, does: Does) -> Place {
+        static PLACES: AtomicUsize = AtomicUsize::new(0);
+        let world = World::default();
+        let no = PLACES.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("lockpoint-{test}-{}-{no}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let held = TcpListener::bind("127.0.0.1:0").expect("a port");
+        rustix::io::fcntl_setfd(&held, rustix::io::FdFlags::empty()).expect("children inherit it");
+        let bulletin = Bulletin::start(&world).await;
+        let server = SipServer::start(&world, "s0", does).await;
+        bulletin.tell(true, vec![host("s0", server.at, 0, "ready")]);
+        Place { world, dir, held, bulletin, server, no, consoles: Cell::new(0) }
+    }
+
+    fn at(&self) -> SocketAddr {
+        self.held.local_addr().expect("an address")
+    }
+
+    fn socket(&self) -> PathBuf {
+        takeover::place(&self.dir, "n1")
+    }
+
+    /// A console address of this process's own, on a port that the system picks.
+    fn a_console(&self) -> SocketAddr {
+        let id = std::process::id();
+        self.consoles.set(self.consoles.get() + 1);
+        let host = [127, 1 + (id % 200) as u8, 1 + (self.no % 200) as u8, self.consoles.get()];
+        TcpListener::bind((std::net::Ipv4Addr::from(host), 0)).and_then(|l| l.local_addr()).expect("a port")
+    }
+
+    fn write_config(&self, change: impl Fn(&mut serde_json::Value)) -> PathBuf {
+        let file = self.dir.join("config.json");
+        let mut text = json!({"name": "n1", "listen": self.at().to_string(), "bulletin": self.bulletin.at.to_string(),
+            "limits": {"cores": 1.0, "memory_mb": 48, "sockets": 256}, "settings": settings(1)});
+        change(&mut text);
+        std::fs::write(&file, text.to_string()).expect("written");
+        file
+    }
+
+    fn start_with(&self, console: SocketAddr, change: impl Fn(&mut serde_json::Value)) -> Program {
+        let file = self.write_config(change);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_lockpoint"));
+        command.env("ROUTER_CONFIG", file).env("ROUTER_CONSOLE", console.to_string());
+        command.env("ROUTER_FD", self.held.as_raw_fd().to_string()).env("TMPDIR", &self.dir);
+        command.env_remove("ROUTER_LISTEN").env_remove("ROUTER_NAME").stderr(Stdio::piped());
+        Program { child: command.spawn().expect("it starts"), console }
+    }
+
+    /// Starts a process and waits until it says that it can serve.
+    async fn start(&self) -> Program {
+        let program = self.start_with(self.a_console(), |_| ());
+        until("it can serve", async || program.call("PING").await.starts_with("SUCCESS")).await;
+        program
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !holds().await {
+        assert!(Instant::now() < end, "never: {what}");
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// One of the two processes; it does not outlive its test.
+struct Program {
+    child: Child,
+    console: SocketAddr,
+}
+
+impl Program {
+    async fn call(&self, line: &str) -> String {
+        let mut text = String::new();
+        if let Ok(mut stream) = TcpStream::connect(self.console).await {
+            let _ = stream.write_all(format!("{line}\n").as_bytes()).await;
+            let _ = stream.read_to_string(&mut text).await;
+        }
+        text
+    }
+    fn signal(&self, which: &str) {
+        let kill = Command::new("kill").args([which, &self.child.id().to_string()]).status();
+        assert!(kill.expect("it runs").success());
+    }
+    fn runs(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+    /// Waits for its end: its code and its log.
+    async fn end(mut self) -> (Option<i32>, String) {
+        until("it ends", async || !self.runs()).await;
+        let mut log = String::new();
+        std::io::Read::read_to_string(&mut self.child.stderr.take().expect("piped"), &mut log)
+            .expect("its log");
+        (self.child.wait().expect("ended").code(), log)
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn answers(text: &str) -> Does {
+    Does::Answer(text.to_owned())
+}
+
+fn is(sid: &str, what: What) -> impl Fn(&Seen) -> bool + '_ {
+    move |seen| seen.sid == sid && seen.what == what
+}
+
+fn set_up(sid: &str) -> impl Fn(&Seen) -> bool + '_ {
+    move |seen| seen.sid == sid && matches!(seen.what, What::SetUp(..))
+}
+
+/// Guards against calls, answers and releases lost, or attempts sent twice, where one process follows another.
+#[test]
+fn what_one_process_took_the_next_one_answers_on_the_same_connections() {
+    on_one_thread(async {
+        let place = Place::new("across", answers("a")).await;
+        let world = &place.world;
+        let first = place.start().await;
+        let caller = Caller::connect(world, "c", place.at()).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        caller.open(&name(2), 9_000, 0, "x").await;
+        world.answer(&name(1)).await;
+        world.answer(&name(2)).await;
+        // One that is out, and one of which half has come.
+        *place.server.does.borrow_mut() = Does::Silent;
+        caller.open(&name(3), 9_000, 0, "x").await;
+        world.until("it is out", set_up(&name(3))).await;
+        let half = format!(
+            r#"{{"msg":"open","sid":"{}","attrs":{{"class":"judge-call","left":"9000","key":"7f3a"}},"te"#,
+            name(4)
+        );
+        caller.say(half.as_bytes()).await;
+        tokio::time::sleep(Duration::from_millis(20)).await; // read by then, or read by the next one: both must hold
+
+        let second = place.start().await;
+        let (code, log) = first.end().await;
+        assert_eq!(code, Some(0), "{log}");
+        let info = second.call("INFO").await;
+        assert!(info.contains("controller.pending:3|g"), "two stand, one is out: {info}");
+        assert!(info.contains("judge-call.completed:0|c"), "each process counts from 0: {info}");
+
+        // The answer comes to the one, though the other had asked.
+        let out = format!(
+            "SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 1 INVITE\r\nContent-Length: 4\r\n\r\nlate",
+            name(3)
+        );
+        place.server.say(out.as_bytes());
+        assert_eq!(world.answer(&name(3)).await.what, What::Ready("late".into()));
+        *place.server.does.borrow_mut() = answers("b");
+        caller.say(b"xt\":\"y\"}\n").await;
+        assert_eq!(world.answer(&name(4)).await.what, What::Ready("b".into()));
+        // Releases from either side find their calls.
+        place.server.release(&name(1), 16);
+        world.until("the release", is(&name(1), What::Close(16, None))).await;
+        caller.close(&name(2), 16).await;
+        world.until("ended there", is(&name(2), What::Bye(16))).await;
+        for n in 1..=4 {
+            let finals = |s: &Seen| s.sid == name(n) && matches!(s.what, What::Ready(_));
+            assert_eq!((world.count(set_up(&name(n))), world.count(finals)), (1, 1), "call {n}");
+        }
+        assert!(second.call("INFO").await.contains("judge-call.completed:2|c"));
+    });
+}
+
+/// Guards against upgrades that work only once, or not with a configuration reread in between, and against a drain that
+/// a new process forgets.
+#[test]
+fn upgrades_repeat_and_keep_a_drain_and_sighup_works_throughout() {
+    on_one_thread(async {
+        let place = Place::new("again", answers("a")).await;
+        let world = &place.world;
+        let mut now = place.start().await;
+        let caller = Caller::connect(world, "c", place.at()).await;
+        for n in 1..=4 {
+            caller.open(&name(n), 9_000, 0, "x").await;
+            assert_eq!(world.answer(&name(n)).await.what, What::Ready("a".into()));
+            now.signal("-HUP");
+            let next = place.start().await;
+            let (code, log) = std::mem::replace(&mut now, next).end().await;
+            assert_eq!(code, Some(0), "{log}");
+        }
+        assert!(now.call("INFO").await.contains("controller.pending:4|g"));
+        assert!(now.call("LAMEDUCK").await.starts_with("SUCCESS"));
+        let next = place.start().await;
+        assert_eq!(std::mem::replace(&mut now, next).end().await.0, Some(0));
+        caller.say(b"{\"msg\":\"probe\",\"sid\":\"0000000000000001\",\"attrs\":{},\"code\":0}\n").await;
+        world.until("still not ready", |s| s.what == What::Other("probed 0".into())).await;
+        assert!(now.call("REJOIN").await.starts_with("SUCCESS"));
+        now.signal("-TERM");
+        assert_eq!(now.end().await.0, Some(0));
+    });
+}
+
+/// Guards against a predecessor that lets go before its successor could serve.
+#[test]
+fn a_successor_that_cannot_serve_costs_nothing() {
+    on_one_thread(async {
+        let place = Place::new("fails", answers("a")).await;
+        let world = &place.world;
+        let mut first = place.start().await;
+        let caller = Caller::connect(world, "c", place.at()).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        world.answer(&name(1)).await;
+        // One whose file is bad, and one whose peers' address cannot be opened.
+        let bad = place.start_with(place.a_console(), |text| text["settings"] = json!(5));
+        let (code, log) = bad.end().await;
+        assert_eq!((code, log.lines().count()), (Some(2), 1), "{log}");
+        let busy = place.start_with(place.a_console(), |text| {
+            text["peer_listen"] = json!("203.0.113.1:9"); // no address of this machine
+        });
+        assert_eq!(busy.end().await.0, Some(2));
+        assert!(first.runs());
+        caller.open(&name(2), 9_000, 0, "x").await;
+        assert_eq!(world.answer(&name(2)).await.what, What::Ready("a".into()));
+        place.server.release(&name(1), 16);
+        world.until("the release", is(&name(1), What::Close(16, None))).await;
+    });
+}
+
+/// Guards against a predecessor that is lost to whoever connects to it: a successor that dies with all it was handed,
+/// one that says nothing, noise, another version.
+#[rstest]
+#[case::dies_with_all_of_it(None)]
+#[case::says_nothing(Some(b"".to_vec()))]
+#[case::noise(Some(b"GET / HTTP/1.1\r\n\r\n".to_vec()))]
+#[case::another_version(Some(b"LP\x09\x01\0\0\0\0".to_vec()))]
+#[case::a_length_beyond_measure(Some(b"LP\x01\x01\xff\xff\xff\xff".to_vec()))]
+fn a_successor_that_breaks_off_leaves_the_predecessor_at_work(#[case] says: Option<Vec<u8>>) {
+    on_one_thread(async {
+        let place = Place::new("breaks", answers("a")).await;
+        let world = &place.world;
+        let mut first = place.start().await;
+        let caller = Caller::connect(world, "c", place.at()).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        world.answer(&name(1)).await;
+        match says {
+            None => {
+                let mut way = Way::to_predecessor(&place.socket()).expect("it waits there");
+                let (state, sockets) = way.ask().expect("it hands over");
+                assert!(!state.is_empty() && sockets.len() >= 3, "doors and connections");
+            }
+            Some(bytes) => {
+                let mut stream =
+                    std::os::unix::net::UnixStream::connect(place.socket()).expect("it waits there");
+                std::io::Write::write_all(&mut stream, &bytes).expect("said");
+            }
+        }
+        caller.open(&name(2), 9_000, 0, "x").await;
+        assert_eq!(world.answer(&name(2)).await.what, What::Ready("a".into()));
+        assert!(first.runs());
+        // And a real one still takes over.
+        let _second = place.start().await;
+        assert_eq!(first.end().await.0, Some(0));
+        place.server.release(&name(1), 16);
+        world.until("the release", is(&name(1), What::Close(16, None))).await;
+    });
+}
+
+/// Guards against a start that fails, or waits, where the last process was killed.
+#[test]
+fn a_killed_predecessor_leaves_a_socket_behind_and_the_next_one_serves() {
+    on_one_thread(async {
+        let place = Place::new("killed", answers("a")).await;
+        let world = &place.world;
+        let first = place.start().await;
+        first.signal("-KILL");
+        first.end().await;
+        assert!(place.socket().exists());
+        let second = place.start().await;
+        let caller = Caller::connect(world, "c", place.at()).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        assert_eq!(world.answer(&name(1)).await.what, What::Ready("a".into()));
+        // And the second is found in its turn.
+        let _third = place.start().await;
+        assert_eq!(second.end().await.0, Some(0));
+    });
+}
+
+/// Another list of classes cannot go by the old one's places: the new process starts anew and the old one finishes.
+#[test]
+fn a_successor_that_cannot_use_what_is_held_starts_anew_and_the_predecessor_finishes() {
+    on_one_thread(async {
+        let place = Place::new("classes", answers("a")).await;
+        let world = &place.world;
+        let first = place.start().await;
+        let caller = Caller::connect(world, "c", place.at()).await;
+        *place.server.does.borrow_mut() = Does::Silent;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        world.until("it is out", set_up(&name(1))).await;
+        let second = place.start_with(place.a_console(), |text| {
+            text["settings"]["classes"][0]["name"] = json!("ruling");
+        });
+        until("it can serve", async || second.call("PING").await.starts_with("SUCCESS")).await;
+        let out =
+            format!("SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 1 INVITE\r\nContent-Length: 1\r\n\r\ny", name(1));
+        place.server.say(out.as_bytes());
+        assert_eq!(world.answer(&name(1)).await.what, What::Ready("y".into()));
+        let (code, log) = first.end().await;
+        assert_eq!(code, Some(0), "{log}");
+    });
+}
+
+/// A descriptor that is no listening socket is named on one line.
+#[rstest]
+#[case::no_number("three")]
+#[case::not_open("250")]
+#[case::standard_error("2")]
+fn a_bad_descriptor_is_one_line(#[case] descriptor: &str) {
+    on_one_thread(async {
+        let place = Place::new("descriptor", answers("a")).await;
+        let mut command = Command::new(env!("CARGO_BIN_EXE_lockpoint"));
+        command.env("ROUTER_CONFIG", place.write_config(|_| ())).env("ROUTER_FD", descriptor);
+        command.env("TMPDIR", &place.dir).env_remove("ROUTER_LISTEN").env_remove("ROUTER_NAME");
+        let output = command.output().expect("it runs");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+        assert!(said.contains("ROUTER_FD"), "{said}");
+    });
+}
+
+/// What the two say to each other at the end decides whose it is: never both, and never nobody where one still lives.
+#[test]
+fn the_last_word_decides_whose_it_is() {
+    let pair = || {
+        let (a, b) = std::os::unix::net::UnixStream::pair().expect("a pair");
+        (Way::to_successor(a).expect("a way"), Way::to_successor(b).expect("a way"))
+    };
+    let (mut old, mut new) = pair();
+    old.say(Kind::Yours, b"").expect("said");
+    assert!(new.take().is_ok());
+    let (mut old, mut new) = pair();
+    old.say(Kind::Keep, b"").expect("said");
+    drop(old);
+    assert!(matches!(new.take(), Err(TakeoverError::Kept)));
+    // It was killed after it had handed all over: whoever works on says so first.
+    let (old, mut new) = pair();
+    let heard = std::thread::spawn(move || new.take().is_ok());
+    std::thread::sleep(Duration::from_millis(20));
+    drop(old);
+    assert!(heard.join().expect("no panic"));
+    // The successor dies before its word: nothing has changed hands.
+    let (mut old, new) = pair();
+    drop(new);
+    assert!(old.hand_over(b"all", &[]).is_err());
+}
