--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -9,7 +10,8 @@
 use tokio::task::LocalSet;
 
 use crate::config::{self, ConfigError, InstanceConfig};
-use crate::control::{self, Command, Reply, Request};
+use crate::console;
+use crate::control::{self, Called, Command, Reply, Request};
 use crate::instance::{Before, Bound, Instance};
 use crate::takeover;
 
@@ -51,9 +53,16 @@
     Stats(Ask),
     /// Let the agent reread its file, as SIGHUP does.
     Reload(Ask),
-    /// Let instances finish what they took and end; the agent stays.
-    Drain(Ask),
-    /// The same; without an instance named, the agent ends too.
+    /// Can a controller serve?
+    Ping(Call),
+    /// The figures of a controller.
+    Info(Call),
+    /// Send callers away from a controller; it stays, and `rejoin` brings it back.
+    #[command(alias = "drain")]
+    Lameduck(Call),
+    /// Bring a controller back to work.
+    Rejoin(Call),
+    /// Let instances finish what they took and end; without an instance named, the agent ends too.
     Stop(Ask),
 }
 
@@ -69,6 +78,15 @@
     json: bool,
 }
 
+#[derive(Debug, Args)]
+struct Call {
+    #[command(flatten)]
+    ask: Ask,
+    /// The console of one controller, such as the platform's, in place of the agent.
+    #[arg(long, env = "ROUTER_CONSOLE", conflicts_with = "instance")]
+    console: Option<SocketAddr>,
+}
+
 /// Does what the command line says.
 pub fn main() -> ExitCode {
     let cli = match Cli::try_parse() {
@@ -89,7 +107,10 @@
         Some(Commands::Status(ask)) => runtime.block_on(put(Command::Status, ask)),
         Some(Commands::Stats(ask)) => runtime.block_on(put(Command::Stats, ask)),
         Some(Commands::Reload(ask)) => runtime.block_on(put(Command::Reload, ask)),
-        Some(Commands::Drain(ask)) => runtime.block_on(put(Command::Drain, ask)),
+        Some(Commands::Ping(call)) => runtime.block_on(call_to(Command::Ping, call)),
+        Some(Commands::Info(call)) => runtime.block_on(call_to(Command::Info, call)),
+        Some(Commands::Lameduck(call)) => runtime.block_on(call_to(Command::Lameduck, call)),
+        Some(Commands::Rejoin(call)) => runtime.block_on(call_to(Command::Rejoin, call)),
         Some(Commands::Stop(ask)) => runtime.block_on(put(Command::Stop, ask)),
     }
 }
@@ -223,6 +244,36 @@
     }
 }
 
+/// Calls the instances of an agent, or the one controller whose console is named.
+async fn call_to(command: Command, call: Call) -> ExitCode {
+    let Some(console) = call.console else { return put(command, call.ask).await };
+    let what = match command {
+        Command::Info => console::Call::Info,
+        Command::Lameduck => console::Call::Lameduck,
+        Command::Rejoin => console::Call::Rejoin,
+        _ => console::Call::Ping,
+    };
+    match console::ask(console, what).await {
+        Ok(answer) => shown(&[Called { name: console.to_string(), answer }], call.ask.json),
+        Err(error) => complain(NO_AGENT, &format!("no console answers at {console}: {error}")),
+    }
+}
+
+/// Prints what controllers answered to a call; one that said no makes the tool say so.
+fn shown(answers: &[Called], json: bool) -> ExitCode {
+    if json {
+        println!("{}", serde_json::to_string(answers).unwrap_or_default());
+    } else {
+        answers.iter().for_each(|called| println!("{}  {}", called.name, called.answer.trim_end()));
+    }
+    let all = !answers.is_empty() && answers.iter().all(|called| called.answer.starts_with("SUCCESS"));
+    if all {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(FAILED)
+    }
+}
+
 async fn put(command: Command, ask: Ask) -> ExitCode {
     let request = Request { command, instance: ask.instance };
     let reply = match control::ask(&ask.control, &request).await {
@@ -232,6 +283,9 @@
     if let Reply::Error { why } = &reply {
         return complain(FAILED, why);
     }
+    if let Reply::Called { instances } = &reply {
+        return shown(instances, ask.json);
+    }
     if ask.json {
         println!("{}", serde_json::to_string(&reply).unwrap_or_default());
         return ExitCode::SUCCESS;
@@ -242,14 +296,15 @@
                 let at = |name: &str, at: Option<String>| {
                     at.map(|at| format!("  {name} {at}")).unwrap_or_default()
                 };
-                println!("{}  {}{}{}", i.name, i.state, at("listen", i.listen), at("iax2", i.iax2));
+                let (listen, iax2) = (at("listen", i.listen), at("iax2", i.iax2));
+                println!("{}  {}{listen}{iax2}{}", i.name, i.state, at("console", i.console));
                 for server in i.servers {
                     println!("    {}  {}  {}", server.host, server.dial, server.state);
                 }
             }
         }
         Reply::Stats { instances } => instances.iter().for_each(|i| println!("{}", control::stats_line(i))),
-        Reply::Error { .. } => {}
+        Reply::Called { .. } | Reply::Error { .. } => {}
     }
     ExitCode::SUCCESS
 }
--- a/src/console.rs
+++ b/src/console.rs
@@ -3,9 +3,11 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -20,6 +22,10 @@
 /// Who does not read its answer within this loses it.
 const READ_WITHIN: Duration = Duration::from_secs(1);
 
+/// The tool waits so long for an answer, and reads so much of it.
+const ASKS_FOR: Duration = Duration::from_secs(3);
+const MOST_ANSWERED: u64 = 1 << 20;
+
 /// What may be called.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Call {
@@ -89,6 +95,18 @@
     }
 }
 
+/// Calls the console at this address, as the tool does: its answer as it came.
+pub async fn ask(address: SocketAddr, call: Call) -> io::Result<String> {
+    let talk = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(format!("{}\n", call.word()).as_bytes()).await?;
+        let mut text = String::new();
+        stream.take(MOST_ANSWERED).read_to_string(&mut text).await?;
+        Ok(text)
+    };
+    timeout(ASKS_FOR, talk).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
 /// Those who have said no whole line yet, oldest first. Guards against silent and half-said calls that hold all
 /// descriptors that are set aside, and keep a real one from its answer.
 #[derive(Debug, Default)]
--- a/src/control.rs
+++ b/src/control.rs
@@ -14,7 +14,9 @@
 use tokio::task::spawn_local;
 
 use crate::config::{self, OperatorConfig};
+use crate::console::{Answer, Call};
 use crate::counters::Counters;
+use crate::drain::Phase;
 use crate::instance::{Bound, Instance, StartError};
 use crate::interface::ServerState;
 
@@ -33,9 +35,17 @@
     Stats,
     /// Reread the operator's file: instances listed in it are told of it, new ones start, others finish and end.
     Reload,
-    /// Finish what was taken and end; the agent stays.
+    /// Can they serve?
+    Ping,
+    /// Their figures.
+    Info,
+    /// Send callers away; the instances stay.
+    Lameduck,
+    /// The same by its older name.
     Drain,
-    /// The same, and without an instance named the agent ends too.
+    /// Back to work.
+    Rejoin,
+    /// Finish what was taken and end; without an instance named the agent ends too.
     Stop,
 }
 
@@ -66,15 +76,31 @@
     pub state: String,
     pub listen: Option<String>,
     pub iax2: Option<String>,
+    #[serde(default)]
+    pub console: Option<String>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub servers: Vec<ServerStatus>,
 }
 
+/// What an instance answers to a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[allow(missing_docs)] // the names say it
+pub struct Called {
+    pub name: String,
+    /// As at its console: `SUCCESS` or `FAILURE` first.
+    pub answer: String,
+}
+
 /// An answer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "answer", rename_all = "lowercase")]
 pub enum Reply {
-    /// To `status`, `reload`, `drain` and `stop`.
+    /// To `ping`, `info`, `lameduck`, `drain` and `rejoin`: what the console of each would answer.
+    Called {
+        /// The instances asked for, by name.
+        instances: Vec<Called>,
+    },
+    /// To `status`, `reload` and `stop`.
     Status {
         /// The instances asked for.
         instances: Vec<InstanceStatus>,
@@ -132,6 +158,7 @@
     name: String,
     listen: Option<String>,
     iax2: Option<String>,
+    console: Option<String>,
     instance: Instance,
     stop: Rc<Notify>,
     done: Rc<Cell<bool>>,
@@ -249,6 +276,7 @@
             name: bound.handle().name().to_owned(),
             listen: text(bound.listens_at()),
             iax2: text(bound.iax2_at()),
+            console: text(bound.console_at()),
             instance: bound.handle(),
             stop: stop.clone(),
             done: done.clone(),
@@ -339,9 +367,13 @@
                 Ok(()) => Reply::Status { instances: self.status(None) },
                 Err(why) => Reply::Error { why },
             },
-            Command::Drain | Command::Stop => {
+            Command::Ping => self.call(wanted, Call::Ping),
+            Command::Info => self.call(wanted, Call::Info),
+            Command::Lameduck | Command::Drain => self.call(wanted, Call::Lameduck),
+            Command::Rejoin => self.call(wanted, Call::Rejoin),
+            Command::Stop => {
                 self.ask_to_stop(wanted);
-                if request.command == Command::Stop && wanted.is_none() {
+                if wanted.is_none() {
                     *self.end.borrow_mut() = true;
                     self.changed.notify_one();
                 }
@@ -350,6 +382,18 @@
         }
     }
 
+    /// Calls instances as their consoles do. Those that have ended can do nothing any more.
+    fn call(&self, wanted: Option<&str>, call: Call) -> Reply {
+        let running = self.running.borrow();
+        let asked = running.iter().filter(|r| wanted.is_none_or(|name| r.name == name));
+        let called = |r: &Running| match r.done.get() {
+            true => Answer::Failure("it has stopped".to_owned()),
+            false => r.instance.called(call),
+        };
+        let answers = asked.map(|r| Called { name: r.name.clone(), answer: called(r).to_string() });
+        Reply::Called { instances: answers.collect() }
+    }
+
     fn ask_to_stop(&self, wanted: Option<&str>) {
         for running in self.running.borrow().iter().filter(|r| wanted.is_none_or(|name| r.name == name)) {
             running.instance.begin_stop();
@@ -360,11 +404,13 @@
     fn status(&self, wanted: Option<&str>) -> Vec<InstanceStatus> {
         let running = self.running.borrow();
         let asked = running.iter().filter(|r| wanted.is_none_or(|name| r.name == name));
-        let state = |r: &Running| match (r.done.get(), r.instance.stopping(), r.instance.ready()) {
-            (true, _, _) => "stopped",
-            (false, true, _) => "draining",
-            (false, false, true) => "serving",
-            (false, false, false) => "waiting for a list",
+        let state = |r: &Running| match r.instance.phase() {
+            _ if r.done.get() => "stopped",
+            Phase::Emptying { ends: true, .. } => "ending",
+            Phase::Emptying { .. } if r.instance.empty() => "empty",
+            Phase::Emptying { .. } => "emptying",
+            Phase::Working if r.instance.ready() => "serving",
+            Phase::Working => "waiting for a list",
         };
         let servers = |r: &Running| {
             r.instance.servers().into_iter().map(|line| ServerStatus {
@@ -384,6 +430,7 @@
                 state: state(r).to_owned(),
                 listen: r.listen.clone(),
                 iax2: r.iax2.clone(),
+                console: r.console.clone(),
                 servers: servers(r).collect(),
             })
             .collect()
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -110,6 +110,7 @@
 struct BoundTo {
     name: String,
     listen: Option<SocketAddr>,
+    console: Option<SocketAddr>,
     peer_listen: Option<SocketAddr>,
     iax2: Option<Iax2Config>,
 }
@@ -217,15 +218,20 @@
     pub fn counters(&self) -> Counters {
         let state = self.0.state.borrow();
         let (core, sip, tally) = (state.core.counts(), state.sip.counts, &state.tally);
+        let gauges = self.gauges(&state);
         Counters {
             name: self.0.bound_to.name.clone(),
             open: state.core.open_calls(),
             standing: state.core.standing_calls(),
+            pending: gauges.pending,
+            members: gauges.members,
+            members_unavailable: gauges.members_unavailable,
+            upstream_requests: gauges.upstream_requests,
             clients: state.guests.len(),
             taken: core.taken,
             duplicates: core.duplicates,
-            answered: core.answered,
-            refused: core.refused,
+            completed: core.answered,
+            rejected: core.refused,
             failed: core.failed,
             given_up: core.given_up,
             released: core.released,
--- a/src/instance/open.rs
+++ b/src/instance/open.rs
@@ -132,6 +132,7 @@
             bound_to: BoundTo {
                 name: config.name.clone(),
                 listen: config.listen,
+                console: config.console,
                 peer_listen: config.peer_listen,
                 iax2: config.iax2.clone(),
             },
--- a/src/instance/operators.rs
+++ b/src/instance/operators.rs
@@ -102,8 +102,12 @@
     /// The figures, one a line.
     pub fn figures(&self) -> String {
         let state = self.0.state.borrow();
+        figures::lines(state.core.figures(), &self.gauges(&state))
+    }
+
+    /// What is held, and what has left towards call servers.
+    pub(super) fn gauges(&self, state: &State) -> Gauges {
         let written = self.0.server_bytes.set_ups_left() + state.servers.counts.news;
-        let gauges = Gauges { upstream_requests: written, ..state.core.gauges(self.0.clock.now()) };
-        figures::lines(state.core.figures(), &gauges)
+        Gauges { upstream_requests: written, ..state.core.gauges(self.0.clock.now()) }
     }
 }
--- a/src/instance/reload.rs
+++ b/src/instance/reload.rs
@@ -15,6 +15,7 @@
             let checks = [
                 ("name", running.name == config.name),
                 ("listen", running.listen == config.listen),
+                ("console", running.console == config.console),
                 ("peer_listen", running.peer_listen == config.peer_listen),
                 (
                     "iax2.listen",
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -78,16 +78,42 @@
         serde_json::from_str(&desk.says(&["status", "judges", "--json"])).expect("JSON");
     assert_eq!(one["instances"].as_array().map(Vec::len), Some(1));
     assert!(desk.says(&["stats", "desks"]).starts_with("name=desks "));
+    assert!(desk.says(&["stats", "desks"]).contains(" members=0 members_unavailable=0 "));
+    // No list has come yet: it cannot serve, and says so; its figures are there all the same.
+    let ping = desk.tool(&["ping", "desks"]);
+    let said = String::from_utf8_lossy(&ping.stdout).into_owned();
+    assert!(ping.status.code() == Some(1) && said.starts_with("desks  FAILURE no list"), "{said}");
+    let info = desk.says(&["info", "desks"]);
+    assert!(
+        info.contains("controller.downstream_requests.judge-call.completed:0|c") && info.contains("EOT"),
+        "{info}"
+    );
+    // The console of the same instance answers to the same names, and to the tool.
+    let status = desk.says(&["status", "desks"]);
+    let console = status.lines().next().and_then(|l| l.split_once("console ")).expect("a console").1;
+    assert!(desk.says(&["info", "--console", console]).contains("controller.pending:0|g"));
+    assert_eq!(desk.tool(&["ping", "--console", console]).status.code(), Some(1));
+    let gone = desk.tool(&["ping", "--console", "127.0.0.1:9"]);
+    assert_eq!((gone.status.code(), gone.stdout.len()), (Some(3), 0));
+    // Emptied and brought back, by either name; the others are not touched.
+    for lameduck in ["lameduck", "drain"] {
+        assert!(desk.says(&[lameduck, "desks"]).contains("SUCCESS"));
+        desk.until("it is empty", |desk| desk.says(&["status", "desks"]).contains("desks  empty"));
+        assert!(desk.says(&["status", "judges"]).contains("judges  waiting"));
+        assert!(desk.says(&["rejoin", "desks"]).contains("SUCCESS"));
+        assert!(desk.says(&["status", "desks"]).contains("desks  waiting"));
+    }
     let unknown = desk.tool(&["drain", "nobody"]);
     assert_eq!(unknown.status.code(), Some(1));
     // A second agent keeps its hands off the first one's socket.
     let second = desk.tool(&["agent", "--config", "agent.toml"]);
     assert_eq!(second.status.code(), Some(2));
-    desk.says(&["drain", "desks"]);
+    desk.says(&["stop", "desks"]);
     desk.until("one is stopped", |desk| {
         let status = desk.says(&["status"]);
         status.contains("desks  stopped") && status.contains("judges  waiting")
     });
+    assert_eq!(desk.tool(&["rejoin", "desks"]).status.code(), Some(1), "what has ended cannot come back");
     // Its addresses are free again, though the agent lives on.
     let status: serde_json::Value =
         serde_json::from_str(&desk.says(&["status", "desks", "--json"])).expect("JSON");
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -142,7 +142,7 @@
         // It stands: its name is still nobody else's.
         bad.open(&name(1), 9_000, 0, "x").await;
         world.until_all("away", 2, |s| s.who == "bad" && matches!(s.what, What::Close(31, _))).await;
-        let Counters { answered, standing, .. } = controller.instance.counters();
-        assert_eq!((answered, standing), (1, 1));
+        let Counters { completed, standing, .. } = controller.instance.counters();
+        assert_eq!((completed, standing), (1, 1));
     });
 }
--- a/tests/bad_peers.rs
+++ b/tests/bad_peers.rs
@@ -40,7 +40,7 @@
         assert!(took >= Duration::from_millis(500), "none for the time of a release, but {took:?}");
         assert!(took < Duration::from_millis(1_800), "within the aim, but {took:?}");
         let c = controller.instance.counters();
-        assert_eq!((c.spoilt, c.answered, c.cancelled), (1, 1, 0));
+        assert_eq!((c.spoilt, c.completed, c.cancelled), (1, 1, 0));
     });
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -35,7 +35,10 @@
         let whole = What::SetUp("judge-call".into(), "7f3a9c21e0b4d655".into(), DESCRIPTION.into());
         assert_eq!((sent.sid, sent.what), (name(1), whole));
         let counters = controller.stop().await;
-        assert_eq!((counters.taken, counters.answered, counters.duplicates, counters.attempts), (1, 1, 1, 1));
+        assert_eq!(
+            (counters.taken, counters.completed, counters.duplicates, counters.attempts),
+            (1, 1, 1, 1)
+        );
         assert_eq!(world.count(|s| s.who == "c" && s.what != What::Asked), 1);
     });
 }
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -40,7 +40,7 @@
         let released = |seen: &support::Seen| seen.sid == name(1) && seen.what == What::Close(16, None);
         world.until("the release of the call that stood before", released).await;
         let c = controller.instance.counters();
-        assert_eq!((c.taken, c.answered, c.clients, c.reloads), (2, 2, 1, 1));
+        assert_eq!((c.taken, c.completed, c.clients, c.reloads), (2, 2, 1, 1));
     });
 }
 
@@ -52,8 +52,9 @@
         let (controller, _servers, bulletin) = Controller::with_servers(&world, &[answers("a")]).await;
         let mut config = support::config(bulletin.at);
         config.listen = Some("127.0.0.1:9".parse().expect("an address"));
+        config.console = Some("127.0.0.1:10".parse().expect("an address"));
         config.core.classes.push("another".into());
-        assert_eq!(controller.instance.reload(config), ["listen", "settings.classes"]);
+        assert_eq!(controller.instance.reload(config), ["listen", "console", "settings.classes"]);
         let caller = Caller::connect(&world, "c", controller.at).await;
         caller.open(&name(1), 2_000, 0, "x").await;
         assert_eq!(world.answer(&name(1)).await.what, What::Ready("a".into()));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -101,6 +101,21 @@
     }
 }
 
+/// Writes in pieces of so many bytes, each a packet of its own; 0: whole.
+async fn write_in(
+    pieces: usize,
+    writer: &mut (impl AsyncWriteExt + Unpin),
+    bytes: &[u8],
+) -> std::io::Result<()> {
+    for piece in bytes.chunks(if pieces == 0 { bytes.len().max(1) } else { pieces }) {
+        writer.write_all(piece).await?;
+        if pieces > 0 {
+            tokio::task::yield_now().await;
+        }
+    }
+    Ok(())
+}
+
 /// Runs a test's world on one thread.
 pub fn on_one_thread(test: impl std::future::Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -133,6 +148,8 @@
     pub name: String,
     pub at: SocketAddr,
     pub does: RefCell<Does>,
+    /// It writes in pieces of so many bytes; 0: whole.
+    pub pieces: Cell<usize>,
     world: World,
     connections: RefCell<Vec<(Writer, Rc<Notify>)>>,
     listening: RefCell<Option<JoinHandle<()>>>,
@@ -146,6 +163,7 @@
             name: name.to_owned(),
             at,
             does: RefCell::new(does),
+            pieces: Cell::new(0),
             world: world.clone(),
             connections: RefCell::default(),
             listening: RefCell::default(),
@@ -167,11 +185,12 @@
         let state = b"NOTIFY sip:peer@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCSeq: 1 NOTIFY\r\nP-Report: x0:500;x1:500;util:0.1;queue:0\r\nContent-Length: 0\r\n\r\n";
         let _ = writer.send(state.to_vec());
         let mut bytes = Vec::new();
+        stream.set_nodelay(true).expect("set");
         loop {
             let mut chunk = [0; 4096];
             tokio::select! {
                 Some(out) = queue.recv() => {
-                    if stream.write_all(&out).await.is_err() { return; }
+                    if write_in(self.pieces.get(), &mut stream, &out).await.is_err() { return; }
                 }
                 _ = reset.notified() => {
                     let _ = stream.set_zero_linger();
@@ -281,6 +300,8 @@
     events: RefCell<Vec<Value>>,
     more: Notify,
     pub breaks: Cell<Option<Break>>,
+    /// It writes in pieces of so many bytes; 0: whole.
+    pub pieces: Cell<usize>,
 }
 
 pub fn host(name: &str, at: SocketAddr, cell: u16, health: &str) -> Value {
@@ -298,6 +319,7 @@
             events: RefCell::default(),
             more: Notify::new(),
             breaks: Cell::new(None),
+            pieces: Cell::new(0),
         });
         let serving = bulletin.clone();
         spawn_local(async move {
@@ -317,6 +339,7 @@
     }
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
+        stream.set_nodelay(true).expect("set");
         let (reader, mut writer) = stream.into_split();
         let mut lines = BufReader::new(reader).lines();
         while let Ok(Some(line)) = lines.next_line().await {
@@ -357,7 +380,7 @@
                     },
                 }
             }
-            if writer.write_all(answer.as_bytes()).await.is_err() {
+            if write_in(self.pieces.get(), &mut writer, answer.as_bytes()).await.is_err() {
                 return;
             }
         }
@@ -376,6 +399,7 @@
 impl Caller {
     pub async fn connect(world: &World, name: &str, at: SocketAddr) -> Caller {
         let stream = TcpStream::connect(at).await.expect("the controller listens");
+        stream.set_nodelay(true).expect("set");
         let (reader, writer) = stream.into_split();
         let (noted, who) = (world.clone(), name.to_owned());
         let reading = spawn_local(async move {
@@ -399,6 +423,13 @@
         Caller { world: world.clone(), name: name.to_owned(), writer: RefCell::new(Some(writer)), reading }
     }
 
+    /// Says something in pieces of so many bytes; 0: whole.
+    pub async fn say_in(&self, pieces: usize, bytes: &[u8]) {
+        let mut writer = self.writer.borrow_mut().take().expect("a connection");
+        write_in(pieces, &mut writer, bytes).await.expect("written");
+        *self.writer.borrow_mut() = Some(writer);
+    }
+
     pub async fn say(&self, bytes: &[u8]) {
         let mut writer = self.writer.borrow_mut().take().expect("a connection");
         writer.write_all(bytes).await.expect("written");
@@ -406,10 +437,14 @@
     }
 
     pub async fn open(&self, sid: &str, left_ms: u64, dest: u16, description: &str) {
+        self.open_in(0, sid, left_ms, dest, description).await;
+    }
+
+    pub async fn open_in(&self, pieces: usize, sid: &str, left_ms: u64, dest: u16, description: &str) {
         self.world.note(&self.name, sid, What::Asked);
         let line = json!({"msg": "open", "sid": sid, "attrs": {"class": "judge-call", "left": left_ms.to_string(),
             "key": "7f3a9c21e0b4d655", "extras": format!("dest:{dest};width:1;via:-1"), "unknown": 1}, "text": description, "more": {}});
-        self.say(format!("{line}\n").as_bytes()).await;
+        self.say_in(pieces, format!("{line}\n").as_bytes()).await;
     }
 
     pub async fn close(&self, sid: &str, cause: u16) {
