--- a/src/cli.rs
+++ b/src/cli.rs
@@ -83,7 +83,7 @@
     #[command(flatten)]
     ask: Ask,
     /// The console of one controller, such as the platform's, in place of the agent.
-    #[arg(long, env = "ROUTER_CONSOLE", conflicts_with = "instance")]
+    #[arg(long, conflicts_with = "instance")]
     console: Option<SocketAddr>,
 }
 
