--- a/src/instance/handover.rs
+++ b/src/instance/handover.rs
@@ -136,6 +136,12 @@
     TcpListener::from_std(listener)
 }
 
+/// What is held, for the people on call.
+fn summary(state: &State) -> String {
+    let (open, standing, lines) = (state.core.open_calls(), state.core.standing_calls(), state.lines.len());
+    format!("{open} calls that wait, {standing} that stand, {lines} connections")
+}
+
 /// What is to be done once the loop runs: connections to serve and to make.
 #[derive(Default)]
 pub(super) struct Unfinished {
@@ -188,6 +194,7 @@
             _ => Drain::default(),
         };
         state.core.close_at(state.drain.refuses_from());
+        eprintln!("lockpoint: taken over: {}", summary(state));
         self.0.after.set(held.after);
         left
     }
@@ -258,6 +265,7 @@
             }
         };
         way.hand_over(&text, &sockets)?;
+        eprintln!("lockpoint: handed over: {}", summary(state));
         Ok(true)
     }
 
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -14,7 +14,9 @@
 use lockpoint::takeover::{self, Kind, TakeoverError, Way};
 use rstest::rstest;
 use serde_json::json;
-use support::{host, name, on_one_thread, settings, Bulletin, Caller, Does, Seen, SipServer, What, World};
+use support::{
+    host, name, on_one_thread, settings, Break, Bulletin, Caller, Does, Seen, SipServer, What, World,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -204,6 +206,26 @@
     });
 }
 
+/// Guards against a drain that is heard late because the bulletin stalled, or broke off, while the process was replaced.
+#[rstest]
+#[case::breaks_off(Break::Off)]
+#[case::stalls(Break::Stall)]
+fn a_bulletin_that_spoils_its_answer_during_an_upgrade_is_asked_again_in_time(#[case] how: Break) {
+    on_one_thread(async {
+        let place = Place::new("bulletin", answers("a")).await;
+        let first = place.start().await;
+        place.bulletin.breaks.set(Some(how));
+        place.bulletin.tell(false, vec![host("s0", place.server.at, 0, "draining")]);
+        let told = Instant::now();
+        let second = place.start().await;
+        until("the drain is heard", async || second.call("INFO").await.contains("members_unavailable:1|g"))
+            .await;
+        assert!(told.elapsed() < Duration::from_secs(2), "heard after {:?}", told.elapsed());
+        let (code, log) = first.end().await;
+        assert!(code == Some(0) && log.contains("handed over: 0 calls that wait, 0 that stand"), "{log}");
+    });
+}
+
 /// Guards against upgrades that work only once, or not with a configuration reread in between, and against a drain that
 /// a new process forgets.
 #[test]
