Bound a hand-over as a whole, not each of its reads and writes

Seen in review: write_all and read_exact start their time anew with each piece, so a successor that reads a little now and then could keep its predecessor standing still for long. takeover.rs now counts from the start of the exchange. Tests: half a word, and one that asks and then hears nothing; the predecessor goes on within its 0.8 s.

--- a/src/takeover.rs
+++ b/src/takeover.rs
@@ -19,7 +19,7 @@
 use std::os::unix::fs::{FileTypeExt, PermissionsExt};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use listenfd::ListenFd;
 use rustix::net::{
@@ -136,7 +136,16 @@
 
 /// One end of the way between two processes.
 #[derive(Debug)]
-pub struct Way(UnixStream);
+pub struct Way {
+    stream: UnixStream,
+    patience: Duration,
+    /// When the exchange that is under way must have come to its end. Guards against one who reads or writes a little
+    /// now and then, and keeps a predecessor standing still.
+    ends: Instant,
+}
+
+/// What is written or read before the time is looked at again.
+const PIECE: usize = 32 * 1024;
 
 impl Way {
     /// To the predecessor at this place; `None`: there is none. A socket that nobody answers at is removed.
@@ -159,9 +168,49 @@
 
     fn of(stream: UnixStream, patience: Duration) -> io::Result<Way> {
         stream.set_nonblocking(false)?;
-        stream.set_read_timeout(Some(patience))?;
-        stream.set_write_timeout(Some(patience))?;
-        Ok(Way(stream))
+        Ok(Way { stream, patience, ends: Instant::now() + patience })
+    }
+
+    /// An exchange begins.
+    fn begin(&mut self) {
+        self.ends = Instant::now() + self.patience;
+    }
+
+    /// What is done next has only the time that is left.
+    fn in_time(&self) -> io::Result<&UnixStream> {
+        let left = self.ends.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        self.stream.set_read_timeout(Some(left))?;
+        self.stream.set_write_timeout(Some(left))?;
+        Ok(&self.stream)
+    }
+
+    fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        let mut left = bytes;
+        while !left.is_empty() {
+            match self.in_time()?.write(&left[..left.len().min(PIECE)]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => left = &left[n..],
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    fn read(&self, bytes: &mut [u8]) -> io::Result<()> {
+        let mut got = 0;
+        while got < bytes.len() {
+            match self.in_time()?.read(&mut bytes[got..]) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(n) => got += n,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
     }
 
     /// Says something.
@@ -172,31 +221,32 @@
         head[..2].copy_from_slice(&MARK);
         (head[2], head[3]) = (VERSION, kind as u8);
         head[4..].copy_from_slice(&length.to_be_bytes());
-        self.0.write_all(&head)?;
-        Ok(self.0.write_all(text)?)
+        self.write(&head)?;
+        Ok(self.write(text)?)
     }
 
     /// Hears something; its kind is as it came.
     pub fn hear(&mut self) -> Result<(u8, Vec<u8>), TakeoverError> {
         let mut head = [0; 8];
-        self.0.read_exact(&mut head)?;
+        self.read(&mut head)?;
         let length = length_of(&head)?;
         let mut text = vec![0; length];
-        self.0.read_exact(&mut text)?;
+        self.read(&mut text)?;
         Ok((head[3], text))
     }
 
     /// Hands all over. When this says yes, it is the successor's; otherwise nothing has changed hands.
     pub fn hand_over(&mut self, state: &[u8], sockets: &[BorrowedFd<'_>]) -> Result<(), TakeoverError> {
+        self.begin();
         self.say(Kind::State, state)?;
-        self.0.write_all(&u32::try_from(sockets.len()).unwrap_or(u32::MAX).to_be_bytes())?;
+        self.write(&u32::try_from(sockets.len()).unwrap_or(u32::MAX).to_be_bytes())?;
         for some in sockets.chunks(MOST_SOCKETS) {
             let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_SOCKETS))];
             let mut with = SendAncillaryBuffer::new(&mut space);
             if !with.push(SendAncillaryMessage::ScmRights(some)) {
                 return Err(TakeoverError::TooLong(some.len()));
             }
-            sendmsg(&self.0, &[IoSlice::new(&[1])], &mut with, SendFlags::empty())
+            sendmsg(self.in_time()?, &[IoSlice::new(&[1])], &mut with, SendFlags::empty())
                 .map_err(io::Error::from)?;
         }
         match self.hear() {
@@ -204,6 +254,7 @@
             Ok(_) => Err(TakeoverError::Form),
             Err(error) => {
                 // Should it still be there, it must know that it has come too late.
+                self.begin();
                 let _ = self.say(Kind::Keep, b"");
                 Err(error)
             }
@@ -212,6 +263,7 @@
 
     /// Asks for what is held, and gets it with its sockets.
     pub fn ask(&mut self) -> Result<(Vec<u8>, Vec<OwnedFd>), TakeoverError> {
+        self.begin();
         self.say(Kind::Hello, b"")?;
         let (kind, text) = self.hear()?;
         if kind == Kind::No as u8 {
@@ -221,7 +273,7 @@
             return Err(TakeoverError::Form);
         }
         let mut count = [0; 4];
-        self.0.read_exact(&mut count)?;
+        self.read(&mut count)?;
         let count = u32::from_be_bytes(count) as usize;
         if count > MOST_IN_ALL {
             return Err(TakeoverError::TooLong(count));
@@ -232,7 +284,8 @@
             let mut with = RecvAncillaryBuffer::new(&mut space);
             let mut byte = [0; 1];
             let into = &mut [IoSliceMut::new(&mut byte)];
-            let got = recvmsg(&self.0, into, &mut with, RecvFlags::CMSG_CLOEXEC).map_err(io::Error::from)?;
+            let got = recvmsg(self.in_time()?, into, &mut with, RecvFlags::CMSG_CLOEXEC)
+                .map_err(io::Error::from)?;
             let before = sockets.len();
             for message in with.drain() {
                 if let RecvAncillaryMessage::ScmRights(some) = message {
@@ -248,6 +301,7 @@
 
     /// Says that all of it can be used; when this says yes, it is this process's.
     pub fn take(&mut self) -> Result<(), TakeoverError> {
+        self.begin();
         // Where nobody is there any more to hear it, the last word that was said there still counts.
         match self.say(Kind::Held, b"") {
             Err(TakeoverError::Broken(error)) if error.kind() != io::ErrorKind::BrokenPipe => {
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -289,6 +289,8 @@
 #[case::noise(Some(b"GET / HTTP/1.1\r\n\r\n".to_vec()))]
 #[case::another_version(Some(b"LP\x09\x01\0\0\0\0".to_vec()))]
 #[case::a_length_beyond_measure(Some(b"LP\x01\x01\xff\xff\xff\xff".to_vec()))]
+#[case::half_a_word(Some(b"LP\x01\x01".to_vec()))]
+#[case::asks_and_hears_nothing(Some(b"LP\x01\x01\0\0\0\0".to_vec()))]
 fn a_successor_that_breaks_off_leaves_the_predecessor_at_work(#[case] says: Option<Vec<u8>>) {
     on_one_thread(async {
         let place = Place::new("breaks", answers("a")).await;
@@ -297,6 +299,7 @@
         let caller = Caller::connect(world, "c", place.at()).await;
         caller.open(&name(1), 9_000, 0, "x").await;
         world.answer(&name(1)).await;
+        let _stays;
         match says {
             None => {
                 let mut way = Way::to_predecessor(&place.socket()).expect("it waits there");
@@ -307,6 +310,7 @@
                 let mut stream =
                     std::os::unix::net::UnixStream::connect(place.socket()).expect("it waits there");
                 std::io::Write::write_all(&mut stream, &bytes).expect("said");
+                _stays = stream;
             }
         }
         caller.open(&name(2), 9_000, 0, "x").await;
