A predecessor is asked to leave only by a successor that can serve without it

Seen in review: without ROUTER_FD, a successor with another list of classes asked the predecessor to leave and then ended itself, since it could not listen: nobody was left. handover.rs asked before open.rs had looked at the addresses. The test was seen to fail without the change (the predecessor was no longer ready).

--- a/src/instance/handover.rs
+++ b/src/instance/handover.rs
@@ -331,7 +331,7 @@
         self.place.as_ref()
     }
     /// Takes what the predecessor holds; tries again where it could not let go in time. `None`: there is nobody, or
-    /// nothing that can be used; then the predecessor is asked to finish and end.
+    /// nothing that can be used.
     pub(super) fn inherit(&mut self, config: &InstanceConfig) -> Option<Inheritance> {
         let place = self.place.clone()?;
         for _ in 0..TRIES {
@@ -350,10 +350,14 @@
                 }
             }
         }
-        if let Some(mut way) = Way::to_predecessor(&place) {
+        None
+    }
+    /// Asks the predecessor to finish what it took, and to end. To be said by a process that can serve without what the
+    /// other holds, or there would be nobody.
+    pub(super) fn ask_to_leave(&self) {
+        if let Some(mut way) = self.place.as_ref().and_then(|place| Way::to_predecessor(place)) {
             let _ = way.say(Kind::Leave, b"");
         }
-        None
     }
 }
 
--- a/src/instance/open.rs
+++ b/src/instance/open.rs
@@ -107,6 +107,12 @@
                 return Err(fail(key, address)(io::ErrorKind::AddrInUse.into()));
             }
         }
+        if somebody && inherited.is_none() {
+            before.ask_to_leave();
+            if let Some(at) = config.peer_listen.filter(|_| peer_socket.is_none()) {
+                eprintln!("lockpoint: peers are not heard at {at} before the next start");
+            }
+        }
         let limits = config.limits;
         let (caller_bytes, server_bytes) = (Budget::new(limits.eighth()), Budget::new(limits.eighth()));
         let state = State {
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -71,6 +71,21 @@
         file
     }
 
+    /// One for which the platform holds no socket: it would have to get the listener from its predecessor.
+    fn start_without_descriptor(
+        &self,
+        console: SocketAddr,
+        change: impl Fn(&mut serde_json::Value),
+    ) -> Program {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_lockpoint"));
+        command.env("ROUTER_CONFIG", self.write_config(change)).env("ROUTER_CONSOLE", console.to_string());
+        command.env("TMPDIR", &self.dir).env_remove("ROUTER_FD").env_remove("ROUTER_LISTEN");
+        Program {
+            child: command.env_remove("ROUTER_NAME").stderr(Stdio::piped()).spawn().expect("it starts"),
+            console,
+        }
+    }
+
     fn start_with(&self, console: SocketAddr, change: impl Fn(&mut serde_json::Value)) -> Program {
         let file = self.write_config(change);
         let mut command = Command::new(env!("CARGO_BIN_EXE_lockpoint"));
@@ -368,6 +383,31 @@
     });
 }
 
+/// Guards against a predecessor that is sent away by a successor which then cannot serve either.
+#[test]
+fn a_successor_that_can_neither_use_what_is_held_nor_listen_ends_and_the_predecessor_stays() {
+    on_one_thread(async {
+        let place = Place::new("neither", answers("a")).await;
+        let mut first = place.start().await;
+        let second = place.start_without_descriptor(place.a_console(), |text| {
+            text["settings"]["classes"][0]["name"] = json!("ruling");
+        });
+        let (code, log) = second.end().await;
+        assert!(code == Some(2) && log.contains("cannot listen at"), "{log}");
+        let caller = Caller::connect(&place.world, "c", place.at()).await;
+        caller.say(b"{\"msg\":\"probe\",\"sid\":\"0000000000000001\",\"attrs\":{},\"code\":0}\n").await;
+        place.world.until("it is ready", |s| s.what == What::Other("probed 1".into())).await;
+        assert!(first.runs());
+        // One that can use it gets the listener and the same console from the predecessor.
+        let third = place.start_without_descriptor(first.console, |_| ());
+        let (code, log) = first.end().await;
+        assert_eq!(code, Some(0), "{log}");
+        until("it can serve", async || third.call("PING").await.starts_with("SUCCESS")).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        assert_eq!(place.world.answer(&name(1)).await.what, What::Ready("a".into()));
+    });
+}
+
 /// A descriptor that is no listening socket is named on one line.
 #[rstest]
 #[case::no_number("three")]
