--- a/src/cli.rs
+++ b/src/cli.rs
@@ -187,9 +187,8 @@
         Ok(log) => log,
         Err(why) => return complain(BAD_CONFIG, &why),
     };
-    // A successor is started beside its predecessor, with the folder that both share.
-    let before = match std::env::var_os("TMPDIR") {
-        Some(dir) => Before::at(takeover::place(dir.as_ref(), &config.name)),
+    let before = match takeover_folder(&config, std::env::var_os("TMPDIR")) {
+        Some(dir) => Before::at(takeover::place(&dir, &config.name)),
         None => Before::nobody(),
     };
     match Bound::open_after(before, config).await {
@@ -206,6 +205,13 @@
     }
 }
 
+/// Where predecessor and successor meet, if one may come: only where the platform holds the callers' listener
+/// (`$ROUTER_FD`) and both share `$TMPDIR`. Elsewhere a restart begins from nothing, and no Unix socket is opened,
+/// since a platform that does not hand the listener on starts no successor beside its predecessor.
+pub fn takeover_folder(config: &InstanceConfig, tmpdir: Option<std::ffi::OsString>) -> Option<PathBuf> {
+    config.inherited.and(tmpdir).map(PathBuf::from)
+}
+
 async fn agent(file: PathBuf) -> ExitCode {
     let reloads = Reloads::new();
     let config = match config::from_file(&file) {
--- a/src/instance/open.rs
+++ b/src/instance/open.rs
@@ -162,7 +162,10 @@
         // From here on a successor may ask for what is held.
         let heirs = before.place().and_then(|place| {
             match takeover::wait_at(place).and_then(UnixListener::from_std) {
-                Ok(heirs) => Some(heirs),
+                Ok(heirs) => {
+                    tracing::info!(place = %place.display(), "a successor may take over here");
+                    Some(heirs)
+                }
                 Err(error) => {
                     tracing::warn!(place = %place.display(), %error, "no successor can take over");
                     None
