A caller's leaving ends its call at once, wherever it waits and however it left

A deaf connection was not read at all. WriteQueue::push refused CANCELs where set-ups had filled the line.

Changed: one who writes no more and waits is told `trying` every 100 ms, which means nothing to who is there; a closed connection refuses it, and the wait for an error ends it. Who is turned away is read every 50 ms for what gives up or ends calls. Set-ups fill three quarters of a line, the rest is for what ends calls. What was said before a write failed is read to the last, and so is what crosses our own close of a connection: an end of a call that came then was thrown away.

A half closed caller is served as before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -347,6 +347,16 @@
         self.open.contains_key(&sid)
     }
 
+    /// A call for which this connection is owed an answer.
+    pub fn owed_on(&self, client: Client) -> Option<Sid> {
+        self.open.iter().find(|(_, open)| open.client == client).map(|(sid, _)| *sid)
+    }
+
+    /// The longest that any class lets a caller wait, by the settings of now.
+    pub fn longest(&self) -> Span {
+        self.config.longest
+    }
+
     /// Whether a call that stands was asked for on this connection.
     pub fn carries(&self, client: Client) -> bool {
         self.book.carries(client)
--- a/src/front/jsonl.rs
+++ b/src/front/jsonl.rs
@@ -134,6 +134,11 @@
     line(&json!({"msg": "ready", "sid": sid.as_str(), "attrs": {}, "text": body}))
 }
 
+/// Under way: means nothing to a caller who is there.
+pub fn trying(sid: Sid) -> Bytes {
+    line(&json!({"msg": "trying", "sid": sid.as_str(), "attrs": {}}))
+}
+
 /// Refused, failed or over.
 pub fn close(sid: Sid, cause: u16, wait: Span) -> Bytes {
     let attrs = match wait.0.div_ceil(1000) {
--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -32,6 +32,11 @@
     /// Looks whether a caller's connection has stayed for too long without use.
     pub(super) fn look_at(&mut self, no: u64, now: Time, todo: &mut Todo) {
         let carries = self.core.carries(client_of(no));
+        if self.guests.may_have_left(no) {
+            if let Some(sid) = self.core.owed_on(client_of(no)) {
+                self.guests.write(no, jsonl::trying(sid));
+            }
+        }
         if let Some(came) = self.guests.owed_nothing(no) {
             match self.drain.look(came, carries, now) {
                 Door::Stays => {}
@@ -63,18 +68,7 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let room = {
-                        let mut state = self.0.state.borrow_mut();
-                        let parting = self.0.parting.get();
-                        let State { guests, core, tally, .. } = &mut *state;
-                        let room =
-                            guests.has_room(parting) || guests.make_room(|no| core.carries(client_of(no)));
-                        tally.turned_away += u64::from(!room);
-                        room
-                    };
-                    if room {
-                        self.client(stream);
-                    }
+                    self.comes(stream);
                     // A burst of connections must not keep those that are there waiting.
                     tokio::task::yield_now().await;
                 }
@@ -83,6 +77,21 @@
         }
     }
 
+    /// A caller has connected.
+    fn comes(&self, stream: TcpStream) {
+        let room = {
+            let mut state = self.0.state.borrow_mut();
+            let parting = self.0.parting.get();
+            let State { guests, core, tally, .. } = &mut *state;
+            let room = guests.has_room(parting) || guests.make_room(|no| core.carries(client_of(no)));
+            tally.turned_away += u64::from(!room);
+            room
+        };
+        if room {
+            self.client(stream);
+        }
+    }
+
     /// Puts a new connection on the books and serves it. Both at once, so that a successor finds it there.
     fn client(&self, stream: TcpStream) {
         let queue = Rc::new(WriteQueue::within(&self.0.caller_bytes));
@@ -120,7 +129,7 @@
         drop(gone);
         if in_order {
             self.0.parting.set(self.0.parting.get() + 1);
-            part(line.stream()).await;
+            part(&line, &self.0.pool, &mut reader).await;
             self.0.parting.set(self.0.parting.get() - 1);
         }
     }
@@ -134,6 +143,17 @@
         });
     }
 
+    /// A line on a connection that is ended, or about to be: set-ups on it are made again elsewhere, or were turned away.
+    /// What gives up or ends a call is heard. Guards against calls left standing at call servers, and set-ups sent on,
+    /// whose callers said so in the moment when their connection was closed here.
+    fn last_line(&self, no: u64, bytes: &[u8]) {
+        match jsonl::parse(bytes) {
+            Ok(Said::Close(sid, cause)) => self.input(Input::Close(client_of(no), sid, cause)),
+            Ok(Said::Closed(sid)) => self.input(Input::Heard(sid)),
+            _ => {}
+        }
+    }
+
     fn client_line(&self, no: u64, bytes: &[u8]) {
         let client = client_of(no);
         let now = self.0.clock.now();
@@ -193,24 +213,33 @@
 impl Reader for ClientReader {
     fn read(&mut self, bytes: &[u8]) -> Result<usize, Unreadable> {
         let mut used = 0;
+        let ending = || self.instance.0.state.borrow().guests.is_ending(self.no);
         while let Some(length) = bytes[used..].iter().position(|byte| *byte == b'\n') {
             let line = &bytes[used..used + length];
             used += length + 1;
-            if !line.trim_ascii().is_empty() {
-                self.instance.client_line(self.no, line);
-            }
-            if self.instance.0.state.borrow().guests.is_ending(self.no) {
-                return Ok(bytes.len()); // whatever else it says is not listened to
+            match line.trim_ascii().is_empty() {
+                true => {}
+                false if ending() => self.instance.last_line(self.no, line),
+                false => self.instance.client_line(self.no, line),
             }
         }
         if bytes.len() - used > MESSAGE {
+            if ending() {
+                return Ok(bytes.len()); // no end of a call is so long
+            }
             self.instance.0.state.borrow_mut().tally.lines += 1;
             return Err(Unreadable);
         }
         Ok(used)
     }
     fn ended(&mut self) -> bool {
-        self.instance.0.state.borrow_mut().guests.half_closed(self.no)
+        let now = self.instance.0.clock.now();
+        let mut more = false;
+        self.instance.turn(|state, todo| {
+            more = state.guests.half_closed(self.no);
+            todo.dues.push((now, WirePart::Guests, self.no));
+        });
+        more
     }
     fn patience(&self) -> Duration {
         WHOLE_WITHIN
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -43,7 +43,8 @@
 pub trait Reader {
     /// Takes the whole messages at the start of `bytes` and says how many bytes they were.
     fn read(&mut self, bytes: &[u8]) -> Result<usize, Unreadable>;
-    /// The other side writes no more. `true`: go on writing until the queue is told to finish.
+    /// The other side writes no more: it has closed the connection, or only its half. `true`: go on writing until the
+    /// queue is told to finish.
     fn ended(&mut self) -> bool;
     /// How long a message may take from its first byte to its last.
     fn patience(&self) -> Duration;
@@ -83,6 +84,12 @@
     }
 }
 
+/// A connection that is turned away is read this seldom. What it says costs us little, and that its other side has left
+/// is heard all the same.
+const SELDOM: Duration = Duration::from_millis(50);
+/// What was said before a connection broke under our writing is there already: it takes no longer than this to read.
+const LAST_WORDS: Duration = Duration::from_millis(100);
+
 /// Serves a connection until it ends.
 pub async fn serve(line: &Line, queue: &WriteQueue, pool: &Pool, reader: &mut impl Reader) -> End {
     let stream = &line.stream;
@@ -92,37 +99,46 @@
     if line.part.borrow().is_some() {
         whole_by = Some(Instant::now() + reader.patience());
     }
+    // From when on it is read again; `None`: whenever something comes.
+    let mut read_from: Option<Instant> = None;
     loop {
         if queue.may_write() {
             if let Err(error) = queue.write_to(stream) {
+                last_words(line, pool, reader).await;
                 return end_of(&error);
             }
         }
         if queue.ends() {
             return End::Ours;
         }
-        if queue.deaf() {
-            (reading, whole_by) = (false, None);
-            line.part.replace(None);
+        let seldom = queue.deaf();
+        if seldom {
+            whole_by = None;
+        }
+        let rests = read_from.is_some_and(|at| Instant::now() < at);
+        // Guards against one who has left while answers are owed and is not noticed: once nothing more is read, only an
+        // error tells of it.
+        let mut interest = if reading && !rests { Interest::READABLE } else { Interest::ERROR };
+        if queue.may_write() {
+            interest = interest | Interest::WRITABLE;
         }
-        let interest = match (reading, !queue.may_write()) {
-            (true, true) => Interest::READABLE,
-            (true, false) => Interest::READABLE | Interest::WRITABLE,
-            (false, false) => Interest::WRITABLE,
-            (false, true) => {
-                queue.changed().await;
-                continue;
-            }
-        };
         let ready = tokio::select! {
             _ = queue.changed() => continue,
             // Guards against messages that stop short and leave what comes after them, or a buffer, waiting for good.
             _ = by(whole_by) => return End::Short,
+            _ = by(read_from.filter(|_| rests)) => continue,
             ready = stream.ready(interest) => ready,
         };
         match ready {
-            Ok(ready) if reading && (ready.is_readable() || ready.is_read_closed() || ready.is_error()) => {
-                match read_some(line, pool, reader) {
+            Ok(ready)
+                if reading
+                    && !rests
+                    && (ready.is_readable() || ready.is_read_closed() || ready.is_error()) =>
+            {
+                let read = read_some(line, pool, reader);
+                read_from = queue.deaf().then(|| Instant::now() + SELDOM);
+                match read {
+                    Ok(Read::Nothing) => {}
                     Ok(Read::Whole) => whole_by = None,
                     Ok(Read::Part { anew: true }) => whole_by = Some(Instant::now() + reader.patience()),
                     Ok(Read::Part { anew: false }) => {
@@ -135,18 +151,51 @@
                 // Guards against a connection that is written to at full speed and keeps the others waiting.
                 tokio::task::yield_now().await;
             }
+            Ok(ready) if ready.is_error() => return End::Reset,
             Ok(_) => {}
             Err(error) => return end_of(&error),
         }
     }
 }
 
+/// Hears what the other side had said before the connection broke. Guards against an answer, or the end of a call, that
+/// came whole and is lost because something was to be written in the same moment.
+async fn last_words(line: &Line, pool: &Pool, reader: &mut impl Reader) {
+    let rest = async {
+        // What had come is read first, then comes the end or the error.
+        while line.stream.readable().await.is_ok() {
+            if matches!(read_some(line, pool, reader), Ok(Read::End) | Err(_)) {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(LAST_WORDS, rest).await;
+}
+
 /// How long the other side may take to end a connection that was ended in order here.
 const PARTS_WITHIN: Duration = Duration::from_millis(500);
 
-/// Ends a connection in order: the other side hears that nothing more comes, and what it still says is thrown away.
-/// Guards against a reset, which a close with bytes unread would be, that destroys what was written last.
-pub async fn part(stream: &TcpStream) {
+/// Ends a connection in order: the other side hears that nothing more comes, and what it still says goes to the reader,
+/// who takes from it what needs no answer. Guards against a reset, which a close with bytes unread would be, that destroys
+/// what was written last, and against the end of a call that crosses ours and is heard by nobody.
+pub async fn part(line: &Line, pool: &Pool, reader: &mut impl Reader) {
+    let stream = &line.stream;
+    if rustix::net::shutdown(stream, rustix::net::Shutdown::Write).is_err() {
+        return;
+    }
+    let rest = async {
+        while stream.readable().await.is_ok() {
+            if matches!(read_some(line, pool, reader), Ok(Read::End) | Err(_)) {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    let _ = tokio::time::timeout(PARTS_WITHIN, rest).await;
+}
+
+/// The same where what the other side still says is of no use: it is thrown away.
+pub async fn part_unheard(stream: &TcpStream) {
     if rustix::net::shutdown(stream, rustix::net::Shutdown::Write).is_err() {
         return;
     }
@@ -173,6 +222,8 @@
 
 /// What a turn of reading left behind.
 enum Read {
+    /// There was nothing to be read.
+    Nothing,
     /// No part of a message.
     Whole,
     /// Part of a message; `anew`: it began in this turn.
@@ -189,7 +240,10 @@
     match line.stream.try_read(buffer.room()) {
         Ok(0) => return Ok(Read::End),
         Ok(n) => buffer.add(n),
-        Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+        Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+            *line.part.borrow_mut() = Some(buffer).filter(|buffer| !buffer.filled().is_empty());
+            return Ok(Read::Nothing);
+        }
         Err(e) => return Err(end_of(&e)),
     }
     let used = reader.read(buffer.filled()).map_err(|Unreadable| End::Unreadable)?;
--- a/src/net/guests.rs
+++ b/src/net/guests.rs
@@ -19,6 +19,10 @@
 const IDLE: Span = Span::from_millis(5_000);
 /// A connection that is looked at again for what it still owes or carries.
 const LOOK_AGAIN: Span = Span::from_millis(1_000);
+/// A caller who writes no more and waits is told this often that its call is under way. Guards against set-ups sent on for
+/// one who has left: a connection that was closed, not only half of it, refuses what is written to it, and nothing else
+/// tells the two apart.
+const STILL_THERE: Span = Span::from_millis(100);
 /// A caller who was turned away for what it sent is read no more and loses its connection after this. Guards against
 /// callers who send the same again as soon as they are turned away: each turn costs them so much time, and us little.
 const LINGER: Span = Span::from_millis(1_000);
@@ -159,13 +163,21 @@
     pub fn is_ending(&self, no: u64) -> bool {
         self.connections.get(&no).is_none_or(|guest| guest.ending)
     }
-    /// The caller writes no more; whether answers are still owed to it.
+    /// The caller writes no more; whether anything is still to be written to it.
     pub fn half_closed(&mut self, no: u64) -> bool {
         self.connections.get_mut(&no).is_some_and(|guest| {
             guest.half = true;
-            guest.owed > 0
+            if guest.owed == 0 {
+                guest.queue.finish();
+            }
+            guest.owed > 0 || !guest.queue.is_empty()
         })
     }
+    /// Whether the caller writes no more and waits for an answer, or has left: which of the two only shows in what
+    /// becomes of something that is written to it.
+    pub fn may_have_left(&self, no: u64) -> bool {
+        self.connections.get(&no).is_some_and(|guest| guest.half && guest.owed > 0)
+    }
     /// The numbers of all.
     pub fn numbers(&self) -> Vec<u64> {
         self.connections.keys().copied().collect()
@@ -196,7 +208,7 @@
     pub fn look(&mut self, no: u64, carries: bool, now: Time) -> Look {
         let Some(guest) = self.connections.get(&no) else { return Look::Ends };
         if guest.owed > 0 {
-            return Look::Again(now.plus(LOOK_AGAIN));
+            return Look::Again(now.plus(if guest.half { STILL_THERE } else { LOOK_AGAIN }));
         }
         let until = match (guest.ending, guest.told) {
             (true, _) => now,
--- a/src/net/queue.rs
+++ b/src/net/queue.rs
@@ -14,6 +14,9 @@
 
 /// Bytes that may wait on one connection.
 const MOST_WAITING: usize = 128 * 1024;
+/// Of these, what set-ups may take. The rest is for what ends calls: a set-up that has left and is given up while others
+/// wait behind it must be taken back where it went.
+const MOST_SET_UPS: usize = 96 * 1024;
 
 /// Bytes that may wait on many connections together. Guards against callers who ask much and read nothing: each is
 /// within its bounds, and all together would take the memory that the platform allows.
@@ -126,7 +129,8 @@
     /// Appends a message; `false` if it would wait behind too many others.
     pub fn push(&self, bytes: Bytes, set_up: Option<Sid>) -> bool {
         let mut inner = self.inner.borrow_mut();
-        if inner.waiting + bytes.len() > MOST_WAITING || !self.budget.take(bytes.len()) {
+        let most = if set_up.is_some() { MOST_SET_UPS } else { MOST_WAITING };
+        if inner.waiting + bytes.len() > most || !self.budget.take(bytes.len()) {
             return false;
         }
         inner.waiting += bytes.len();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -108,3 +108,139 @@
 pub fn name(n: u64) -> String {
     Sid::numbered(0x9b1f_03aa_0000_0000 + n).to_string()
 }
+
+// ---- A call server that a test holds in its hand ----------------------------------------------------------
+
+/// A call server that accepts, reads and says only what a test tells it to, when it is told to.
+pub struct Hand {
+    pub at: SocketAddr,
+    pub name: String,
+    listener: tokio::net::TcpListener,
+}
+
+/// One of its connections.
+pub struct Wire {
+    pub stream: tokio::net::TcpStream,
+    bytes: Vec<u8>,
+}
+
+pub const NEVER: Duration = Duration::from_secs(20);
+
+/// Waits for what must come.
+pub async fn in_time<T>(name: &str, what: impl std::future::Future<Output = T>) -> T {
+    tokio::time::timeout(NEVER, what).await.unwrap_or_else(|_| panic!("never: {name}"))
+}
+
+impl Hand {
+    pub async fn start(name: &str) -> Hand {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Hand { at: listener.local_addr().expect("an address"), name: name.to_owned(), listener }
+    }
+    /// One whose connections take little before they are read.
+    pub async fn narrow(name: &str) -> Hand {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(4_096).expect("set");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let listener = socket.listen(64).expect("it listens");
+        Hand { at: listener.local_addr().expect("an address"), name: name.to_owned(), listener }
+    }
+    /// One to which no connection comes up until it accepts: its queue of connections is full. Those that fill it come
+    /// along.
+    pub async fn full(name: &str) -> (Hand, Vec<std::net::TcpStream>) {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let listener = socket.listen(1).expect("it listens");
+        let at = listener.local_addr().expect("an address");
+        let mut fill = Vec::new();
+        while let Ok(stream) = std::net::TcpStream::connect_timeout(&at, Duration::from_millis(200)) {
+            fill.push(stream);
+            assert!(fill.len() < 16, "the queue of connections has an end");
+        }
+        (Hand { at, name: name.to_owned(), listener }, fill)
+    }
+    /// The next connection, on which nothing has been said.
+    pub async fn accept(&self) -> Wire {
+        let (stream, _) = in_time("a connection", self.listener.accept()).await.expect("accepted");
+        stream.set_nodelay(true).expect("set");
+        Wire { stream, bytes: Vec::new() }
+    }
+    /// The next connection, on which the call server has said its state: it carries set-ups.
+    pub async fn greets(&self) -> Wire {
+        let mut wire = self.accept().await;
+        wire.say("NOTIFY sip:peer@net SIP/2.0\r\nCSeq: 1 NOTIFY\r\nP-Report: x0:500;x1:500\r\nContent-Length: 0\r\n\r\n")
+            .await;
+        wire
+    }
+    /// The line of the list.
+    pub fn host(&self, cell: u16, health: &str) -> Value {
+        host(&self.name, self.at, cell, health)
+    }
+}
+
+impl Wire {
+    pub async fn say(&mut self, text: &str) {
+        use tokio::io::AsyncWriteExt;
+        self.stream.write_all(text.as_bytes()).await.expect("written");
+    }
+    /// The next request of this method; requests of other methods before it are passed over.
+    pub async fn hears(&mut self, method: &str) -> String {
+        in_time(method, async {
+            loop {
+                let (m, call) =
+                    self.next().await.unwrap_or_else(|| panic!("the connection ended before {method}"));
+                if m == method {
+                    return call;
+                }
+            }
+        })
+        .await
+    }
+    /// The next request: its method and its call; `None`: the connection has ended.
+    pub async fn next(&mut self) -> Option<(String, String)> {
+        use lockpoint::upstream::sip::message::{parse, Start};
+        use tokio::io::AsyncReadExt;
+        loop {
+            if let Ok(Some((message, used))) = parse(&self.bytes) {
+                self.bytes.drain(..used);
+                if let Start::Request(method) = message.start {
+                    return Some((method, message.call_id));
+                }
+                continue;
+            }
+            if self.stream.read_buf(&mut self.bytes).await.unwrap_or(0) == 0 {
+                return None;
+            }
+        }
+    }
+    pub async fn answers(&mut self, sid: &str, description: &str) {
+        self.replies(sid, 200, description).await;
+    }
+    pub async fn replies(&mut self, sid: &str, code: u16, description: &str) {
+        let length = description.len();
+        self.say(&format!(
+            "SIP/2.0 {code} X\r\nCall-ID: {sid}\r\nCSeq: 1 INVITE\r\nContent-Length: {length}\r\n\r\n{description}"
+        ))
+        .await;
+    }
+    /// The process dies: the connection is reset.
+    pub fn reset(self) {
+        self.stream.set_zero_linger().expect("set");
+    }
+}
+
+impl Controller {
+    /// Starts with these call servers, one for each cell, told by a bulletin.
+    pub async fn with_hands(
+        world: &World,
+        hands: &[&Hand],
+        change: impl FnOnce(&mut InstanceConfig),
+    ) -> (Controller, Rc<Bulletin>) {
+        let bulletin = Bulletin::start(world).await;
+        bulletin.tell(true, (0..).zip(hands).map(|(cell, hand)| hand.host(cell, "ready")).collect());
+        let mut config = config(bulletin.at);
+        change(&mut config);
+        let controller = Controller::start(config).await;
+        controller.holds_list().await;
+        (controller, bulletin)
+    }
+}
