A last word on a set-up that was given up does not end the next one at its call server

`message` (upstream/sip/mod.rs) matched an answer by its call alone: where a call given up on one connection was out again at the same call server on another, a late refusal of the first set-up ended the second attempt, and the call could go elsewhere while that one was out. A late answer left the entry of the second set-up behind, so the call stood without its number and unwatched for silence.

Ruled out: two call servers (core::relay looks whether the attempt is out there), and the decision module as it is, which sends a call again to the same call server only after an error or a reset; a test in the module's place shows the crossing (a_late_last_word_...), which fails with the code as it was.

Changed: a connection remembers the last 256 set-ups given up on it after they had left. A refusal there of one that is not out there is confirmed and taken for its report alone; an answer counts for the call wherever its set-up is out; a call goes to another connection than the one it was given up on, if one carries set-ups. Spoilt messages of a call server are said in the log once, by its address, and when they can be read again.

Also a test without a mend: half a set-up that has left when its connection ends counts as one that may have run.

--- a/src/instance/links.rs
+++ b/src/instance/links.rs
@@ -18,6 +18,9 @@
 /// A message of a call server must be whole within this from its first byte on. Guards against answers that stop short
 /// and leave all that is open on their connection waiting.
 const WHOLE_WITHIN: Duration = Duration::from_millis(400);
+/// What a call server says, as a party in the log: its messages may be spoilt while its connections come up.
+const SAYS: &str = "call server's messages";
+
 impl Instance {
     /// Makes a connection to a call server and serves it.
     pub(super) async fn link(self, no: u64, dial: SocketAddr) {
@@ -114,12 +117,26 @@
                 Ok(Some((message, length))) => {
                     used += length;
                     let now = self.instance.0.clock.now();
-                    self.instance.turn(|state, todo| state.sip.message(self.no, &message, now, todo));
+                    let mut dial = None;
+                    self.instance.turn(|state, todo| {
+                        state.sip.message(self.no, &message, now, todo);
+                        dial = state.sip.dial_of(self.no);
+                    });
+                    if let Some(dial) = dial {
+                        self.instance.works((SAYS, dial));
+                    }
                 }
                 Ok(None) => return Ok(used),
                 // Where one answer is spoilt, those after it cannot be trusted: they may be anybody's.
-                Err(SipError::Message { .. } | SipError::Framing(_)) => {
-                    self.instance.0.state.borrow_mut().tally.sip += 1;
+                Err(error @ (SipError::Message { .. } | SipError::Framing(_))) => {
+                    let dial = {
+                        let mut state = self.instance.0.state.borrow_mut();
+                        state.tally.sip += 1;
+                        state.sip.dial_of(self.no)
+                    };
+                    if let Some(dial) = dial {
+                        self.instance.failed((SAYS, dial), &error);
+                    }
                     return Err(Unreadable);
                 }
             }
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -39,6 +39,9 @@
 /// vanished: their callers are owed a release within 8 s, and any call may have ended with the first moment, or a little
 /// ahead of it on a connection that fell silent first.
 const CUT_AFTER: Span = Span::from_millis(6_500);
+/// Set-ups given up on a connection that are remembered; later ones push out the first. More than leave on one within the
+/// time that a call is tried for.
+const MOST_GIVEN_UP: usize = 256;
 /// Messages that may wait for the next connection.
 const MOST_WAITING: usize = 4_096;
 /// Stands in for a number that is not known, in the first line of a request that only its `Call-ID` matters for.
@@ -73,6 +76,8 @@
     up: Option<Time>,
     /// Set-ups open on it.
     out: BTreeMap<Sid, SetUpOut>,
+    /// Set-ups that had left when they were given up, the latest last: a last word on them may still come.
+    given_up: VecDeque<Sid>,
     /// When the first set-up went out since anything was heard.
     asked: Option<Time>,
     /// The last word on it.
@@ -81,6 +86,20 @@
     speaks: bool,
 }
 
+impl Link {
+    fn gives_up(&mut self, sid: Sid) {
+        if self.given_up.len() >= MOST_GIVEN_UP {
+            self.given_up.pop_front();
+        }
+        self.given_up.push_back(sid);
+    }
+    /// Whether a last word on a set-up is about one that was given up here.
+    fn was_given_up(&mut self, sid: Sid) -> bool {
+        let at = self.given_up.iter().position(|given_up| *given_up == sid);
+        at.and_then(|at| self.given_up.remove(at)).is_some()
+    }
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct Trunk {
     dial: SocketAddr,
@@ -316,6 +335,7 @@
                 queue,
                 up: None,
                 out: BTreeMap::new(),
+                given_up: VecDeque::new(),
                 asked: None,
                 heard: Time::default(),
                 speaks: false,
@@ -347,7 +367,7 @@
     ) {
         let lost =
             |progress, why| Input::Server(server, sid, ServerSays::Lost(AttemptError { why, progress }));
-        let Some(no) = self.pick(server, now, todo) else {
+        let Some(no) = self.pick(server, sid, now, todo) else {
             return todo.inputs.push(lost(Progress::NotConnected, Broken::Connect));
         };
         let extra = format!("P-Kind: {class}\r\nP-Time-Left: {}\r\n", left.0 / 1000);
@@ -363,8 +383,9 @@
     }
 
     /// The connection that the next set-up goes on: one that stands and speaks, with the fewest set-ups open. Where each
-    /// has some, another is made for those to come.
-    fn pick(&mut self, server: ServerId, now: Time, todo: &mut Todo) -> Option<u64> {
+    /// has some, another is made for those to come. A call that was given up on one goes on another if it can: the last word
+    /// on its first set-up must not be taken for that on the next.
+    fn pick(&mut self, server: ServerId, sid: Sid, now: Time, todo: &mut Todo) -> Option<u64> {
         let spare = self.of_link.len() < self.trunks.len() + self.most_links;
         let trunk = self.trunks.get(&server).filter(|t| t.wanted)?;
         // A second one is always to be had: the first may have gone silent.
@@ -374,7 +395,9 @@
             let fit = trunk.links.iter().filter(|(_, l)| which(l));
             fit.min_by_key(|(_, l)| l.out.len()).map(|(no, l)| (*no, l.out.len()))
         };
-        let healthy = least(&|l| l.speaks && !suspect(l));
+        let anew = |l: &Link| !l.given_up.contains(&sid);
+        let healthy = least(&|l| l.speaks && !suspect(l) && anew(l));
+        let healthy = healthy.or_else(|| least(&|l| l.speaks && !suspect(l)));
         let coming = least(&|l| !l.speaks && !suspect(l)).map(|(no, _)| no);
         match healthy {
             Some((no, open)) => {
@@ -398,6 +421,7 @@
                 self.counts.withdrawn += 1;
             } else {
                 link.queue.push(request("CANCEL", &number, sid, (1, "CANCEL"), "", ""), None);
+                link.gives_up(sid);
             }
         }
     }
@@ -542,7 +566,7 @@
         now: Time,
         todo: &mut Todo,
     ) -> bool {
-        let Some(no) = self.pick(server, now, todo) else { return false };
+        let Some(no) = self.pick(server, sid, now, todo) else { return false };
         let link = self.trunks.get_mut(&server).and_then(|t| t.links.get_mut(&no));
         let Some(link) = link.filter(|l| l.queue.push(bytes.clone(), Some(sid))) else { return false };
         let (number, moves) = (set_up.number.clone(), set_up.moves + 1);
@@ -552,6 +576,11 @@
         true
     }
 
+    /// Where the call server of a connection is.
+    pub fn dial_of(&self, link: u64) -> Option<SocketAddr> {
+        Some(self.trunks.get(self.of_link.get(&link)?)?.dial)
+    }
+
     /// A wait before the next connection is over.
     pub fn due(&mut self, key: u64, todo: &mut Todo) {
         let server = ServerId { address: u32::try_from(key).unwrap_or(0), port: 0 };
@@ -583,7 +612,25 @@
         match (&message.start, message.cseq.1.as_str(), sid) {
             (Start::Answer(100..=199), _, _) => {}
             (Start::Answer(code), "INVITE", Some(sid)) => {
-                let number = link.out.remove(&sid).map(|set_up| set_up.number);
+                let mut number = link.out.remove(&sid).map(|set_up| set_up.number);
+                let late = number.is_none() && link.was_given_up(sid);
+                if late && *code >= 300 {
+                    // Guards against a call that is tried here once more, and whose attempt is taken for refused by the
+                    // last word on the one before: it would go elsewhere while this one is out.
+                    let to = trunk.standing.get(&sid).map_or(NO_NUMBER, |number| number);
+                    link.queue.push(request("ACK", to, sid, (message.cseq.0, "ACK"), "", ""), None);
+                    if !message.report.is_empty() {
+                        todo.inputs.push(Input::Load(server, message.report.clone()));
+                    }
+                    return;
+                }
+                if number.is_none() {
+                    // The call stands by its first set-up, or by one whose connection has ended there: the one that is
+                    // out on another connection is the same call.
+                    let mut others = trunk.links.values_mut();
+                    number = others.find_map(|l| l.out.remove(&sid)).map(|set_up| set_up.number);
+                }
+                let Some(link) = trunk.links.get_mut(&no) else { return };
                 let asked = number.is_some();
                 let known = number.or_else(|| trunk.standing.get(&sid).cloned());
                 let to = known.as_deref().unwrap_or(NO_NUMBER);
--- a/src/upstream/sip/tests.rs
+++ b/src/upstream/sip/tests.rs
@@ -1,6 +1,7 @@
 //! Connections to call servers, driven by given times.
 
 use super::*;
+use crate::core::Refusal;
 use crate::interface::Time;
 
 const NOTIFY: &str = "NOTIFY sip:a@b SIP/2.0\r\nCSeq: 1 NOTIFY\r\nContent-Length: 0\r\n\r\n";
@@ -307,3 +308,101 @@
     assert!(!died(&todo) && drive.trunks.counts.stale == 1);
     assert!(links[1..].iter().all(|link| drive.trunks.queue_of(*link).is_some()));
 }
+
+/// Half of a set-up has left when its connection ends: it may have run, and is not sent on. Those behind it have not left,
+/// and go to another connection.
+#[test]
+fn half_a_set_up_that_has_left_is_settled_as_one_that_may_have_run() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let stream = tokio::net::TcpStream::connect(listener.local_addr().expect("its address")).await;
+        let (stream, _there) = (stream.expect("connected"), listener.accept().await.expect("accepted"));
+        let (mut drive, link) = Drive::new();
+        drive.up(link);
+        let queue = drive.trunks.queue_of(link).expect("a queue");
+        // The other side reads nothing.
+        let (mut n, number, long) = (0, "7f".into(), "y".repeat(14_000));
+        let mut waiting = 0;
+        while waiting < 3 {
+            n += 1;
+            let left = Span::from_millis(2_000);
+            drive.trunks.invite(SERVER, sid(n), "c", &number, left, &long, drive.now, &mut Todo::default());
+            stream.writable().await.expect("writable, or full at the last look");
+            queue.write_to(&stream).expect("written");
+            waiting = if queue.is_empty() { 0 } else { waiting + 1 };
+            assert!(n < 4_000, "a connection that takes no more");
+            if waiting > 0 {
+                // Full: the others are put behind it without a look.
+                for _ in waiting..3 {
+                    n += 1;
+                    drive.trunks.invite(
+                        SERVER,
+                        sid(n),
+                        "c",
+                        &number,
+                        left,
+                        &long,
+                        drive.now,
+                        &mut Todo::default(),
+                    );
+                }
+                break;
+            }
+        }
+        let todo = drive.ends(link, LinkEnd::Ended(End::Reset));
+        let lost: Vec<(Sid, Progress)> = todo
+            .inputs
+            .iter()
+            .filter_map(|input| match input {
+                Input::Server(_, sid, ServerSays::Lost(error)) => Some((*sid, error.progress)),
+                _ => None,
+            })
+            .collect();
+        assert!(lost.iter().all(|(_, progress)| !progress.never_ran()), "{lost:?}");
+        // The last two had not begun to leave; the one before them had, and all before that had left.
+        let written: Vec<Sid> = lost.iter().map(|(sid, _)| *sid).collect();
+        assert_eq!(written, (1..=n - 2).map(sid).collect::<Vec<_>>());
+        assert_eq!(drive.trunks.counts.moved, 2);
+    });
+}
+
+/// A call that was given up on one connection goes to its call server once more on another, and the last word on the first
+/// set-up is not taken for one on the second.
+#[test]
+fn a_late_last_word_on_a_set_up_given_up_does_not_end_the_next_one() {
+    let (mut drive, first) = Drive::new();
+    drive.up(first);
+    drive.invite(1);
+    let second = drive.invite(9).links[0].0; // another is made for those to come
+    drive.up(second);
+    drive.trunks.queue_of(first).expect("a queue").pretend_written();
+    drive.trunks.cancel(SERVER, sid(1));
+    // The first has fewer set-ups open, but this call was given up there.
+    drive.invite(8);
+    drive.invite(7);
+    let before = drive.trunks.queue_of(first).expect("a queue").take_back_all().len();
+    drive.invite(1);
+    assert_eq!(drive.trunks.queue_of(first).expect("a queue").take_back_all().len(), 0, "of {before} before");
+    let late = format!("SIP/2.0 486 X\r\nCall-ID: {}\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n", sid(1));
+    assert!(drive.hears(first, &late).inputs.is_empty(), "it is about the one that was given up");
+    let refused = |todo: &Todo| {
+        matches!(todo.inputs[..], [Input::Server(SERVER, _, ServerSays::Refused(Refusal::Error, ..))])
+    };
+    assert!(refused(&drive.hears(second, &late)), "and this about the one that is out");
+    // A late answer means that the call stands there, by whichever set-up: the other is out no longer.
+    drive.invite(2);
+    let on =
+        [first, second].into_iter().find(|no| drive.trunks.queue_of(*no).expect("a queue").take_back(sid(2)));
+    let on = on.expect("on one of them");
+    let other = if on == first { second } else { first };
+    let yes =
+        format!("SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 1 INVITE\r\nContent-Length: 1\r\n\r\ny", sid(2));
+    let todo = drive.hears(other, &yes);
+    assert!(matches!(todo.inputs[..], [Input::Server(SERVER, _, ServerSays::Answered(_))]));
+    assert!(drive
+        .ends(on, LinkEnd::Ended(End::Closed))
+        .inputs
+        .iter()
+        .all(|input| { !matches!(input, Input::Server(_, name, ServerSays::Lost(_)) if *name == sid(2)) }));
+}
