Shutdown, lists and reloads lose nothing where two of their events meet

- A bulletin page whose `no` was ahead of its events was believed (Instance::page): all events up to there were passed over for good, the list had gone quiet.
An event or line that could not be read was skipped, with the drain it may have told of.
Now a Cursor (directory/bulletin.rs) believes events alone, asks three times for what is spoilt, then passes over it.
- A watch of DNS-SD records that ended by a reload forgot what it had told: a call server that left then stayed listed.
- A reload with other classes kept the old settings but took the zones, times and known lines of the other file (Instance::reload); a changed time for connections was taken by nobody, nor were zones by the IAX2 front.
- SIGTERM: the acceptor ended, but the listening socket stayed, so who came later waited at a door that nobody opens.
It is closed once those before it are let in.
The process left when the longest wait of a class was over, though a caller may say up to 1 s more: its call was lost.
Now what is held decides (drain::Held), and calls owed an answer always keep it.
SIGTERM is listened for from the first moment on, as SIGHUP was.

Ruled out, with tests that passed before: a set-up out, resting or on a connection coming up at SIGTERM; a drain between choice and send; late answers after a time-out and after the call went elsewhere; cancels crossing answers; a reload while a call rests; a hand-over with calls that wait.

Bad input has one line in the log that names bulletin or call server and what is wrong.

--- a/crates/lockpoint-lab/src/bulletin.rs
+++ b/crates/lockpoint-lab/src/bulletin.rs
@@ -87,6 +87,13 @@
         self.more.notify_waiters();
     }
 
+    /// Puts an event on the bulletin that may be none.
+    pub fn tell_raw(&self, event: Value) {
+        self.world.note("bulletin", "", What::Told(event.to_string()));
+        self.events.borrow_mut().push(event);
+        self.more.notify_waiters();
+    }
+
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let (reader, mut writer) = stream.into_split();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -157,10 +157,14 @@
     ExitCode::from(code)
 }
 
-async fn told_to_stop() {
-    match Caught::of(&[signals::TERMINATE, signals::INTERRUPT]) {
-        Ok(mut caught) => caught.next().await,
-        Err(_) => std::future::pending().await,
+/// SIGTERM and SIGINT, listened for from this call on: what was taken in the first moments is answered too.
+fn told_to_stop() -> impl std::future::Future<Output = ()> {
+    let caught = Caught::of(&[signals::TERMINATE, signals::INTERRUPT]);
+    async move {
+        match caught {
+            Ok(mut caught) => caught.next().await,
+            Err(_) => std::future::pending().await,
+        }
     }
 }
 
@@ -208,7 +212,7 @@
 }
 
 async fn platform() -> ExitCode {
-    let reloads = Reloads::new();
+    let (reloads, stop) = (Reloads::new(), told_to_stop());
     let config = match platform_config() {
         Ok(config) => config,
         Err(error) => return complain(BAD_CONFIG, &error.to_string()),
@@ -225,7 +229,7 @@
         Ok(bound) => {
             let instance = bound.handle();
             let counters = tokio::select! {
-                counters = bound.run(told_to_stop()) => counters,
+                counters = bound.run(stop) => counters,
                 () = on_reload(reloads, || reload_platform(&instance)) => instance.counters(),
             };
             tracing::info!("{}", counters.line());
@@ -243,7 +247,7 @@
 }
 
 async fn agent(file: PathBuf) -> ExitCode {
-    let reloads = Reloads::new();
+    let (reloads, stop) = (Reloads::new(), told_to_stop());
     let config = match config::from_file(&file) {
         Ok(config) => config,
         Err(error) => return complain(BAD_CONFIG, &error.to_string()),
@@ -253,7 +257,7 @@
         Err(why) => return complain(BAD_CONFIG, &format!("{}: {why}", file.display())),
     };
     let reload = Notify::new();
-    let running = control::run(file, config, told_to_stop(), &reload);
+    let running = control::run(file, config, stop, &reload);
     let ended = tokio::select! {
         ended = running => ended,
         () = on_reload(reloads, || reload.notify_one()) => Ok(()),
--- a/src/config.rs
+++ b/src/config.rs
@@ -198,6 +198,9 @@
     pub(crate) longest: Span,
 }
 
+/// How long callers may wait where no class of the settings says it.
+const NO_LIMIT_SAID: Span = Span::from_millis(30_000);
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct ClassName {
@@ -215,7 +218,7 @@
     let bound = |name: &str| settings.get("bounds").and_then(|b| b.get(name)).and_then(Value::as_u64);
     let longest = classes.iter().map(|class| class.hard_limit_us).max().filter(|us| *us > 0);
     Ok(Extras {
-        longest: Span(longest.unwrap_or(9_000_000)),
+        longest: longest.map_or(NO_LIMIT_SAID, Span),
         classes: classes.into_iter().map(|class| class.name.into()).collect(),
         zones,
         connect_timeout: Span(bound("connect-timeout-us").filter(|us| *us > 0).unwrap_or(500_000)),
--- a/src/directory/bulletin.rs
+++ b/src/directory/bulletin.rs
@@ -1,5 +1,6 @@
 //! The bulletin: numbered events over HTTP long polls, one always open.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -44,6 +45,86 @@
     pub changes: Vec<Change>,
     /// Lines and events that could not be read.
     pub malformed: u64,
+    /// The last event up to which everything was read; where it holds none, what was known before.
+    pub sound_to: u64,
+    /// Why the first of what could not be read could not.
+    pub why: Option<String>,
+}
+
+/// An event that could not be read is asked for so often in all before it is passed over.
+const ASKED: u8 = 3;
+
+/// Where a follower stands in the numbered events: what of a page is news, and from where the bulletin is asked on. It
+/// believes events, not what a page says of them: a spoilt number must not pass over what is still to come, nor a spoilt
+/// event over a drain that it told of.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Cursor {
+    after: u64,
+    /// How often what follows could not be read.
+    asked: u8,
+}
+
+/// What is taken of a page.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Taken {
+    /// The changes, in order.
+    pub changes: Vec<Change>,
+    /// What could not be read and is asked for again, or is passed over.
+    pub spoilt: Option<Spoilt>,
+}
+
+/// Something of a page that could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("what follows its event {after} cannot be read: {why}")]
+pub struct Spoilt {
+    /// The last event before it.
+    pub after: u64,
+    /// Lines and events that are passed over; none: they are asked for again.
+    pub passed_over: Option<u64>,
+    /// Why.
+    pub why: String,
+}
+
+impl Cursor {
+    /// One that has taken all up to this event.
+    pub fn at(after: u64) -> Cursor {
+        Cursor { after, asked: 0 }
+    }
+    /// The last event that was taken.
+    pub fn after(&self) -> u64 {
+        self.after
+    }
+    /// Takes what a page tells beyond the last event taken.
+    pub fn take(&mut self, mut page: Page) -> Taken {
+        page.changes.retain(|change| change.no > self.after);
+        let last = page.changes.last().map_or(0, |change| change.no).max(page.sound_to);
+        let Some(why) = page.why else {
+            if last > self.after {
+                *self = Cursor::at(last);
+                return Taken { changes: page.changes, spoilt: None };
+            }
+            // One that has told everything says the number it was asked with, or one below it where it is behind.
+            let spoilt = (page.no > self.after).then(|| Spoilt {
+                after: self.after,
+                passed_over: None,
+                why: format!("{} is said to be the last, and none is told", page.no),
+            });
+            return Taken { changes: Vec::new(), spoilt };
+        };
+        if page.sound_to > self.after {
+            *self = Cursor::at(page.sound_to);
+        }
+        self.asked += 1;
+        let after = self.after;
+        if self.asked < ASKED {
+            page.changes.retain(|change| change.no <= page.sound_to);
+            return Taken { changes: page.changes, spoilt: Some(Spoilt { after, passed_over: None, why }) };
+        }
+        // Where not one number can be read, the page's own is all there is; it holds for the next event at most.
+        *self = Cursor::at(if last > after { last } else { page.no.clamp(after, after + 1) });
+        let spoilt = Some(Spoilt { after, passed_over: Some(page.malformed), why });
+        Taken { changes: page.changes, spoilt }
+    }
 }
 
 /// An answer that cannot be used; the poll is made anew.
@@ -58,6 +139,9 @@
     /// The text is no page.
     #[error("the bulletin's page cannot be read: {0}")]
     Page(String),
+    /// Part of the page cannot be read, and is asked for again.
+    #[error("the bulletin's page: {0}")]
+    Spoilt(Spoilt),
 }
 
 #[derive(Deserialize)]
@@ -100,32 +184,49 @@
     let form: PageForm = serde_json::from_slice(text).map_err(|e| BulletinError::Page(e.to_string()))?;
     let mut page = Page { no: form.no, ..Page::default() };
     for item in form.items {
-        let Ok(item) = serde_json::from_value::<ItemForm>(item) else {
-            page.malformed += 1;
-            continue;
+        let item: ItemForm = match serde_json::from_value(item) {
+            Ok(item) => item,
+            Err(error) => {
+                page.is_spoilt(format!("an event: {error}"));
+                continue;
+            }
         };
-        let Some(roster) = item.roster else { continue };
         let mut hosts = Vec::new();
-        for host in roster.hosts {
-            match serde_json::from_value::<HostForm>(host).ok().and_then(|form| line_of(form, zones)) {
-                Some(line) => hosts.push(line),
-                None => page.malformed += 1,
+        for host in item.roster.iter().flat_map(|roster| &roster.hosts) {
+            match serde_json::from_value::<HostForm>(host.clone()) {
+                Ok(form) => match line_of(form, zones) {
+                    Ok(line) => hosts.push(line),
+                    Err(why) => page.is_spoilt(format!("event {}: {why}", item.no)),
+                },
+                Err(error) => page.is_spoilt(format!("event {}: a line: {error}", item.no)),
             }
         }
-        page.changes.push(Change { no: item.no, whole: roster.whole, hosts });
+        if page.why.is_none() {
+            page.sound_to = page.sound_to.max(item.no);
+        }
+        if let Some(roster) = item.roster {
+            page.changes.push(Change { no: item.no, whole: roster.whole, hosts });
+        }
     }
     Ok(page)
 }
 
-fn line_of(form: HostForm, zones: &[String]) -> Option<HostLine> {
+impl Page {
+    fn is_spoilt(&mut self, why: String) {
+        self.malformed += 1;
+        self.why.get_or_insert(why);
+    }
+}
+
+fn line_of(form: HostForm, zones: &[String]) -> Result<HostLine, String> {
     let state = match form.health.as_str() {
         "ready" => ServerState::Ready,
         "draining" => ServerState::Draining,
         "gone" => ServerState::Gone,
-        _ => return None,
+        other => return Err(format!("host '{}': '{other}' is no state", form.host)),
     };
     let zone = zones.iter().position(|zone| *zone == form.site).and_then(|at| u16::try_from(at).ok());
-    Some(HostLine {
+    Ok(HostLine {
         host: form.host,
         dial: form.dial,
         protocol: Protocol::Sip,
@@ -185,30 +286,31 @@
     }
 }
 
-/// Follows the bulletin for good: `take` gets each page as it comes and moves `after` on, `failed` gets each failure.
+/// Follows the bulletin for good: `take` gets each page as it comes, moves the cursor on and says what it could not use;
+/// `failed` gets each failure.
 pub async fn follow(
     address: SocketAddr,
-    after: &std::cell::Cell<u64>,
+    cursor: &RefCell<Cursor>,
     zones: &[String],
-    mut take: impl FnMut(Page),
+    mut take: impl FnMut(Page) -> Result<(), BulletinError>,
     mut failed: impl FnMut(BulletinError),
 ) {
     let mut again = AGAIN.0;
     loop {
-        let before = after.get();
-        if let Err(error) = session(address, after, zones, &mut take).await {
+        let before = cursor.borrow().after();
+        if let Err(error) = session(address, cursor, zones, &mut take).await {
             failed(error);
         }
         tokio::time::sleep(again).await;
-        again = if after.get() > before { AGAIN.0 } else { (again * 2).min(AGAIN.1) };
+        again = if cursor.borrow().after() > before { AGAIN.0 } else { (again * 2).min(AGAIN.1) };
     }
 }
 
 async fn session(
     address: SocketAddr,
-    after: &std::cell::Cell<u64>,
+    cursor: &RefCell<Cursor>,
     zones: &[String],
-    take: &mut impl FnMut(Page),
+    take: &mut impl FnMut(Page) -> Result<(), BulletinError>,
 ) -> Result<(), BulletinError> {
     let broken = |e: std::io::Error| BulletinError::Connection(e.to_string());
     let late = |_| BulletinError::Connection("timed out".to_owned());
@@ -216,9 +318,10 @@
     let _ = stream.set_nodelay(true);
     let mut bytes: Vec<u8> = Vec::new();
     loop {
+        let (asked, before) = (Instant::now(), cursor.borrow().after());
         let ask = format!(
             "GET /bulletins?after={}&patience={PATIENCE_MS} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n",
-            after.get()
+            before
         );
         stream.write_all(ask.as_bytes()).await.map_err(broken)?;
         let mut ended = false;
@@ -241,9 +344,13 @@
                 whole_by = whole_by.min(Instant::now() + WHOLE_WITHIN);
             }
         };
-        take(parse_page(&body, zones)?);
+        take(parse_page(&body, zones)?)?;
         if ended {
             return Ok(());
         }
+        // Guards against asking without a rest where the bulletin does not wait for news: it was asked to.
+        if cursor.borrow().after() == before && asked.elapsed() < AGAIN.1 {
+            tokio::time::sleep(AGAIN.0).await;
+        }
     }
 }
--- a/src/directory/dns_sd.rs
+++ b/src/directory/dns_sd.rs
@@ -175,20 +175,34 @@
     }
 }
 
+/// What following a service has come to. It outlives a watch that ends because the configuration is read anew: what has
+/// left, or outlives its records, while nobody watches is told by the next one.
+#[derive(Debug, Default)]
+pub struct Watch {
+    held: Held,
+    told: Option<Vec<HostLine>>,
+    id: u16,
+}
+
+impl Watch {
+    /// Nobody watches any more; whether call servers had been told, which have left with that.
+    pub fn ends(&mut self) -> bool {
+        std::mem::take(self).told.is_some_and(|told| !told.is_empty())
+    }
+}
+
 /// Follows the service for good: `take` gets the whole list each time it changes, `heard` what
 /// came of each round.
 pub async fn follow(
     resolver: SocketAddr,
     service: String,
     zones: Vec<String>,
+    Watch { held, told, id }: &mut Watch,
     mut take: impl FnMut(Vec<HostLine>),
     mut heard: impl FnMut(Result<(), DnsError>),
 ) {
-    let mut held = Held::default();
-    let mut told: Option<Vec<HostLine>> = None;
-    let mut id: u16 = 0;
     loop {
-        let round = round(resolver, &service, &zones, &mut id, &mut held).await;
+        let round = round(resolver, &service, &zones, id, held).await;
         let wait = if round.is_ok() { held.renew_in(Instant::now()) } else { AGAIN };
         heard(round);
         held.expire(Instant::now());
@@ -196,7 +210,7 @@
         // An empty list is told only once there was another: a resolver not yet there says nothing of the servers.
         if told.as_ref().map_or(!lines.is_empty(), |told| *told != lines) {
             take(lines.clone());
-            told = Some(lines);
+            *told = Some(lines);
         }
         tokio::time::sleep(wait).await;
     }
--- a/src/drain.rs
+++ b/src/drain.rs
@@ -43,6 +43,19 @@
     Ends,
 }
 
+/// What is still held, the weightiest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Held {
+    /// Calls that are owed an answer; each gets one by the time its caller said.
+    Calls,
+    /// Answers not read by those they are for.
+    Answers,
+    /// Connections of callers who are owed nothing.
+    Connections,
+    /// Nothing.
+    Nothing,
+}
+
 /// The one machine for `LAMEDUCK`, `REJOIN` and SIGTERM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Drain(Phase);
@@ -115,13 +128,18 @@
             Door::Ends
         }
     }
-    /// Whether the process may leave: it was told to, nothing more is taken, and all is answered. `gone`: all
-    /// connections have ended. `longest`: what any caller waits; who reads no answers keeps no process from its end.
-    pub fn may_leave(&self, settled: bool, gone: bool, longest: Span, now: Time) -> bool {
+    /// Whether the process may leave: it was told to, nothing more is taken, and nobody is owed an answer. `held` tells
+    /// what else is there. `longest`: what any caller waits; who reads no answers keeps no process from its end.
+    pub fn may_leave(&self, held: Held, longest: Span, now: Time) -> bool {
         let Phase::Emptying { ends: true, .. } = self.0 else { return false };
         let Some(refuses) = self.refuses_from() else { return false };
-        let latest = refuses.plus(longest);
-        now >= latest || (now >= refuses && settled && (gone || now >= refuses.plus(PARTS)))
+        now >= refuses
+            && match held {
+                Held::Calls => false,
+                Held::Answers => now >= refuses.plus(longest),
+                Held::Connections => now >= refuses.plus(PARTS),
+                Held::Nothing => true,
+            }
     }
 }
 
@@ -172,7 +190,7 @@
         }
         drain.lameduck(at(5_000));
         assert_eq!(drain.refuses_from(), Some(at(6_800)));
-        assert!(!drain.may_leave(true, true, Span::default(), at(99_000)), "it was not told to end");
+        assert!(!drain.may_leave(Held::Nothing, Span::default(), at(99_000)), "it was not told to end");
     }
 
     #[test]
@@ -185,17 +203,21 @@
         assert_eq!(drain.rejoin(), Err(AboutToEnd));
         let longest = Span::from_millis(3_000);
         let table = [
-            // settled, gone, now, leaves
-            (true, true, 1_899, false),
-            (true, true, 1_900, true),
-            (true, false, 1_900, false),
-            (true, false, 2_400, true),
-            (false, true, 2_400, false),
-            (false, false, 4_899, false),
-            (false, false, 4_900, true),
+            // what is held, now, leaves
+            (Held::Nothing, 1_899, false),
+            (Held::Nothing, 1_900, true),
+            (Held::Connections, 1_900, false),
+            (Held::Connections, 2_399, false),
+            (Held::Connections, 2_400, true),
+            (Held::Answers, 2_400, false),
+            (Held::Answers, 4_899, false),
+            (Held::Answers, 4_900, true),
+            // Guards against a call whose caller waits a little longer than its class and is left without an answer.
+            (Held::Calls, 4_900, false),
+            (Held::Calls, 99_000, false),
         ];
-        for (settled, gone, now, leaves) in table {
-            assert_eq!(drain.may_leave(settled, gone, longest, at(now)), leaves, "{settled} {gone} {now}");
+        for (held, now, leaves) in table {
+            assert_eq!(drain.may_leave(held, longest, at(now)), leaves, "{held:?} {now}");
         }
     }
 }
--- a/src/front/iax2/mod.rs
+++ b/src/front/iax2/mod.rs
@@ -133,10 +133,16 @@
         }
     }
 
-    /// From now on a caller who does not say so waits this long, tokens are asked for or not, and so many legs may be
-    /// begun.
-    pub fn reconfigure(&mut self, left: Span, tokens: Tokens, bounds: Bounds) {
+    /// How long a caller waits who does not say so.
+    pub fn usual_left(&self) -> Span {
+        self.usual.left
+    }
+
+    /// From now on a caller who does not say so waits this long, these are the zones, tokens are asked for or not, and
+    /// so many legs may be begun.
+    pub fn reconfigure(&mut self, left: Span, zones: &[String], tokens: Tokens, bounds: Bounds) {
         self.usual.left = left;
+        self.usual.zones = zones.to_vec();
         self.door.reconfigure(tokens);
         self.legs.set_bounds(bounds);
     }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -22,9 +22,9 @@
 use tokio::task::spawn_local;
 
 use crate::config::{Iax2Config, InstanceConfig};
-use crate::core::CAUSE_CLEARED;
-use crate::core::{Client, Core, Effect, FrontKind, HostLine, Input, Protocol, WirePart};
+use crate::core::{Client, Core, Effect, FrontKind, HostLine, Input, Protocol, WirePart, CAUSE_CLEARED};
 use crate::counters::Counters;
+use crate::directory::bulletin::Cursor;
 use crate::drain::Drain;
 use crate::front::iax2::Callers;
 use crate::front::jsonl;
@@ -109,8 +109,8 @@
     bound_to: BoundTo,
     /// The directories to follow; a reload names others.
     followed: watch::Sender<Followed>,
-    /// The bulletin's last event that was taken.
-    after: Cell<u64>,
+    /// Where it stands in the bulletin's events.
+    heard: RefCell<Cursor>,
     clock: Clock,
     state: RefCell<State>,
     /// The earliest deadline has changed.
@@ -129,7 +129,7 @@
     caller_bytes: Budget,
     /// What may wait to be written to all call servers.
     server_bytes: Budget,
-    connect_timeout: Duration,
+    connect_timeout: Cell<Duration>,
 }
 
 /// A handle on a controller that runs.
@@ -146,10 +146,11 @@
     ) {
         self.finish(left);
         self.recover();
-        self.page(config.known.clone());
+        let _ = self.page(config.known.clone()); // what of it cannot be read, the bulletin is asked for
         self.turn(|state, todo| state.register(&config, self.0.clock.now(), todo));
         let timer = spawn_local(self.clone().keep_time());
-        let acceptor = doors.listener.clone().map(|listener| spawn_local(self.clone().accept(listener)));
+        let listener = doors.listener.borrow().clone();
+        let acceptor = listener.map(|listener| spawn_local(self.clone().accept(listener)));
         if let Some(console) = doors.console.clone() {
             spawn_local(self.clone().hear_operators(console, config.limits.operators()));
         }
@@ -180,10 +181,8 @@
             self.begin_stop();
             let new_ones_until = self.0.state.borrow().drain.new_ones_until();
             tokio::time::sleep_until(self.0.clock.until(new_ones_until.unwrap_or_default())).await;
-            if let Some(acceptor) = &acceptor {
-                acceptor.abort();
-            }
-            while !self.may_leave(config.core.longest) {
+            self.close_door(&doors, acceptor, config.inherited.is_some()).await;
+            while !self.may_leave() {
                 tokio::time::sleep(LOOK_EVERY).await;
             }
         };
--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 
 use crate::core::{Client, FrontKind, Input, WirePart};
 use crate::drain::Door;
 use crate::front::jsonl::{self, Line as Said, LineError};
-use crate::instance::handover::Side;
+use crate::instance::handover::{Doors, Side};
 use crate::instance::{Instance, State};
 use crate::interface::{Span, Time};
 use crate::net::conn::{part, serve, End, Line, Reader, Unreadable};
@@ -21,6 +21,10 @@
 /// A caller's message must be whole within this from its first byte on.
 const WHOLE_WITHIN: Duration = Duration::from_millis(1_500);
 
+/// A door is closed when nobody has come to it for so long, and after so long at the latest.
+const QUIET: Duration = Duration::from_millis(5);
+const CLOSES_WITHIN: Duration = Duration::from_millis(100);
+
 /// Connections that are ended in order, and still wait for the other side, at most; any beyond are just closed.
 const MOST_PARTING: usize = 64;
 
@@ -77,6 +81,25 @@
         }
     }
 
+    /// Closes the door of a process that ends, once those who had come to it are let in. Guards against callers who come
+    /// late and wait for good at a door that the system keeps open and nobody stands at: a refused connection tells them
+    /// at once that nothing was taken. `shared`: the platform or a successor stands at it too, and lets them in.
+    pub(super) async fn close_door(&self, doors: &Doors, acceptor: Option<JoinHandle<()>>, shared: bool) {
+        if let Some(acceptor) = acceptor {
+            acceptor.abort();
+            let _ = acceptor.await;
+        }
+        let Some(listener) = doors.listener.take().filter(|_| !shared) else { return };
+        let closes = tokio::time::Instant::now() + CLOSES_WITHIN;
+        loop {
+            let quiet = (tokio::time::Instant::now() + QUIET).min(closes);
+            match tokio::time::timeout_at(quiet, listener.accept()).await {
+                Ok(Ok((stream, _))) => self.comes(stream),
+                Ok(Err(_)) | Err(_) => return,
+            }
+        }
+    }
+
     /// A caller has connected.
     fn comes(&self, stream: TcpStream) {
         let room = {
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -7,7 +7,7 @@
 
 use crate::config::{DnsSdConfig, InstanceConfig};
 use crate::core::{Input, Source};
-use crate::directory::bulletin::{self, Page};
+use crate::directory::bulletin::{self, BulletinError, Page, Spoilt};
 use crate::directory::dns_sd::{self, DnsError};
 use crate::instance::Instance;
 
@@ -33,11 +33,12 @@
     /// Follows the directories for good, those named last. Guards against news lost between two bulletins: the
     /// numbers carry on, so the next one is asked for what came after the last event taken.
     pub(super) async fn follow(self, mut followed: watch::Receiver<Followed>) {
+        let mut watch = dns_sd::Watch::default();
         loop {
             let now = followed.borrow_and_update().clone();
             tokio::select! {
                 _ = self.follow_bulletin(&now) => {}
-                _ = self.follow_dns_sd(&now) => {}
+                _ = self.follow_dns_sd(&now, &mut watch) => {}
                 changed = followed.changed() => if changed.is_err() { return },
             }
         }
@@ -50,15 +51,27 @@
             self.0.state.borrow_mut().tally.bulletin_failures += 1;
             self.failed(party, &error);
         };
-        let take = |page| {
-            self.works(party);
-            self.page(page);
+        let take = |page| match self.page(page) {
+            None => {
+                self.works(party);
+                Ok(())
+            }
+            Some(spoilt) => Err(BulletinError::Spoilt(spoilt)),
         };
-        bulletin::follow(address, &self.0.after, &followed.zones, take, failed).await;
+        bulletin::follow(address, &self.0.heard, &followed.zones, take, failed).await;
     }
 
-    async fn follow_dns_sd(&self, followed: &Followed) {
-        let Some(dns) = &followed.dns_sd else { return std::future::pending().await };
+    async fn follow_dns_sd(&self, followed: &Followed, watch: &mut dns_sd::Watch) {
+        let take = |hosts| {
+            let list = Input::List { source: Source::DnsSd, whole: true, hosts };
+            self.guarded(|_, todo| todo.inputs.push(list));
+        };
+        let Some(dns) = &followed.dns_sd else {
+            if watch.ends() {
+                take(Vec::new());
+            }
+            return std::future::pending().await;
+        };
         let party = ("resolver", dns.resolver);
         let heard = |round: Result<(), DnsError>| match round {
             Ok(()) => self.works(party),
@@ -67,26 +80,26 @@
                 self.failed(party, &error);
             }
         };
-        let take = |hosts| {
-            let list = Input::List { source: Source::DnsSd, whole: true, hosts };
-            self.guarded(|_, todo| todo.inputs.push(list));
-        };
-        dns_sd::follow(dns.resolver, dns.service.clone(), followed.zones.clone(), take, heard).await;
+        dns_sd::follow(dns.resolver, dns.service.clone(), followed.zones.clone(), watch, take, heard).await;
     }
 
-    /// Takes what a page of the bulletin tells beyond the last event taken.
-    pub(super) fn page(&self, mut page: Page) {
-        let after = self.0.after.get();
-        page.changes.retain(|change| change.no > after);
-        self.0.after.set(page.no.max(after));
+    /// Takes what a page of the bulletin tells beyond the last event taken; what is to be asked for again.
+    pub(super) fn page(&self, page: Page) -> Option<Spoilt> {
+        let taken = self.0.heard.borrow_mut().take(page);
+        let passed_over = taken.spoilt.as_ref().and_then(|spoilt| spoilt.passed_over);
+        if let Some(spoilt) = taken.spoilt.as_ref().filter(|spoilt| spoilt.passed_over.is_some()) {
+            let instance = self.name();
+            tracing::warn!(instance, party = "bulletin", why = %spoilt, "passed over; what was known stays");
+        }
         self.guarded(|state, todo| {
-            state.tally.bulletin += page.malformed;
-            let news = page.changes.into_iter().map(|change| Input::List {
+            state.tally.bulletin += passed_over.unwrap_or(0);
+            let news = taken.changes.into_iter().map(|change| Input::List {
                 source: Source::Bulletin,
                 whole: change.whole,
                 hosts: change.hosts,
             });
             todo.inputs.extend(news);
         });
+        taken.spoilt.filter(|spoilt| spoilt.passed_over.is_none())
     }
 }
--- a/src/instance/handover.rs
+++ b/src/instance/handover.rs
@@ -1,5 +1,6 @@
 //! What a controller at work holds, handed to its successor in one turn of the loop, and taken over by it.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
 
 use crate::config::InstanceConfig;
 use crate::core::Core;
+use crate::directory::bulletin::Cursor;
 use crate::drain::{Drain, Phase};
 use crate::instance::{Instance, State};
 use crate::interface::Time;
@@ -153,7 +155,8 @@
 
 /// The sockets beside its connections that a controller hands over.
 pub(super) struct Doors {
-    pub(super) listener: Option<Rc<TcpListener>>,
+    /// Where callers connect; closed before the process ends.
+    pub(super) listener: RefCell<Option<Rc<TcpListener>>>,
     pub(super) console: Option<Rc<TcpListener>>,
     /// Where it waits for a successor.
     pub(super) heirs: Option<UnixListener>,
@@ -195,7 +198,7 @@
         };
         state.core.close_at(state.drain.refuses_from());
         tracing::info!("taken over: {}", summary(state));
-        self.0.after.set(held.after);
+        *self.0.heard.borrow_mut() = Cursor::at(held.after);
         left
     }
 
@@ -257,7 +260,8 @@
             way.say(Kind::No, b"calls of IAX2 cannot change hands")?;
             return Ok(false);
         }
-        let (text, sockets) = match self.all_held(state, doors) {
+        let listener = doors.listener.borrow().clone();
+        let (text, sockets) = match self.all_held(state, listener.as_deref(), doors) {
             Ok(all) => all,
             Err(why) => {
                 way.say(Kind::No, why.as_bytes())?;
@@ -272,6 +276,7 @@
     fn all_held<'a>(
         &self,
         state: &'a State,
+        listener: Option<&'a TcpListener>,
         doors: &'a Doors,
     ) -> Result<(Vec<u8>, Vec<BorrowedFd<'a>>), String> {
         let (mut forms, mut sockets) = (Vec::new(), Vec::new());
@@ -279,7 +284,7 @@
             forms.push(form);
             sockets.push(socket);
         };
-        if let Some(listener) = &doors.listener {
+        if let Some(listener) = listener {
             add(Socket::Listener, listener.as_fd());
         }
         if let Some(console) = &doors.console {
@@ -293,7 +298,7 @@
         }
         let holds = Holds {
             now: self.0.clock.now(),
-            after: self.0.after.get(),
+            after: self.0.heard.borrow().after(),
             classes: state.core.classes(),
             next_client: state.next_client,
             drain: state.drain,
--- a/src/instance/links.rs
+++ b/src/instance/links.rs
@@ -27,7 +27,7 @@
         let Some(queue) = self.0.state.borrow().sip.queue_of(no) else { return };
         // Guards against a panic in reading one connection's bytes that leaves its entry behind.
         let gone = LinkGone { instance: self.clone(), no, how: Cell::new(LinkEnd::Ended(End::Unreadable)) };
-        let connect = tokio::time::timeout(self.0.connect_timeout, TcpStream::connect(dial));
+        let connect = tokio::time::timeout(self.0.connect_timeout.get(), TcpStream::connect(dial));
         let how = tokio::select! {
             made = connect => match made {
                 Ok(Ok(stream)) => Ok(stream),
--- a/src/instance/open.rs
+++ b/src/instance/open.rs
@@ -158,7 +158,7 @@
                 store: config.store.clone(),
             },
             followed: watch::Sender::new(Followed::of(&config)),
-            after: Cell::new(0),
+            heard: RefCell::default(),
             clock: Clock::from(inherited.as_ref().map(|all| all.now()).unwrap_or_default()),
             state: RefCell::new(state),
             rearm: Notify::new(),
@@ -170,7 +170,7 @@
             pool: Pool::new(limits.buffers()),
             caller_bytes,
             server_bytes,
-            connect_timeout: Duration::from_micros(config.connect_timeout.0),
+            connect_timeout: Cell::new(Duration::from_micros(config.connect_timeout.0)),
         };
         let instance = Instance(Rc::new(shared));
         let left = inherited.map(|all| instance.inherit(all, &config)).unwrap_or_default();
@@ -187,7 +187,8 @@
                 }
             }
         });
-        let doors = Doors { listener: listener.map(Rc::new), console: console.map(Rc::new), heirs };
+        let doors =
+            Doors { listener: RefCell::new(listener.map(Rc::new)), console: console.map(Rc::new), heirs };
         Ok(Bound { instance, config, doors, left })
     }
 
@@ -198,7 +199,7 @@
 
     /// Where JSON-lines callers connect.
     pub fn listens_at(&self) -> Option<SocketAddr> {
-        self.doors.listener.as_ref().and_then(|l| l.local_addr().ok())
+        self.doors.listener.borrow().as_ref().and_then(|l| l.local_addr().ok())
     }
 
     /// Where operators call.
@@ -231,7 +232,7 @@
     };
     let (tokens, bounds) = config.iax2.as_ref().map(|iax2| (iax2.tokens, iax2.bounds)).unwrap_or_default();
     let mut callers = Callers::new(usual, Door::new(tokens, random()?));
-    callers.reconfigure(config.usual_left, tokens, bounds);
+    callers.reconfigure(config.usual_left, &config.zones, tokens, bounds);
     callers.examine(config.secrets.users.as_ref(), random()?);
     Ok(callers)
 }
--- a/src/instance/operators.rs
+++ b/src/instance/operators.rs
@@ -6,18 +6,21 @@
 
 use crate::console::{self, Answer, Call};
 use crate::core::WirePart;
-use crate::drain::{AboutToEnd, Drain, Phase};
+use crate::drain::{AboutToEnd, Drain, Held, Phase};
 use crate::figures::{self, Gauges};
 use crate::instance::{Instance, State};
-use crate::interface::{Span, Time};
+use crate::interface::Time;
 
 impl State {
-    /// Whether no call is owed an answer and all answers are written.
-    fn all_settled(&self) -> bool {
-        self.core.open_calls() == 0
-            && self.guests.all_written()
-            && self.callers.all_acked()
-            && self.servers.all_acked()
+    /// What is held that a process which ends must see to. `parting`: connections that wait for the other side.
+    fn held(&self, parting: usize) -> Held {
+        let read = self.guests.all_written() && self.callers.all_acked() && self.servers.all_acked();
+        match (self.core.open_calls(), read, self.guests.len() + parting) {
+            (1.., ..) => Held::Calls,
+            (0, false, _) => Held::Answers,
+            (0, true, 1..) => Held::Connections,
+            (0, true, 0) => Held::Nothing,
+        }
     }
 }
 
@@ -84,19 +87,19 @@
         matches!(self.phase(), Phase::Emptying { ends: true, .. })
     }
 
+    fn held(&self) -> Held {
+        self.0.state.borrow().held(self.0.parting.get())
+    }
+
     /// Whether all that was taken is answered, and no caller is connected.
     pub fn empty(&self) -> bool {
-        let state = self.0.state.borrow();
-        state.all_settled() && state.guests.is_empty() && self.0.parting.get() == 0
+        self.held() == Held::Nothing
     }
 
     /// Whether the process, told to end, may do so.
-    pub(super) fn may_leave(&self, longest: Span) -> bool {
-        let (settled, drain) = {
-            let state = self.0.state.borrow();
-            (state.all_settled(), state.drain)
-        };
-        drain.may_leave(settled, self.empty(), longest, self.0.clock.now())
+    pub(super) fn may_leave(&self) -> bool {
+        let (held, state) = (self.held(), self.0.state.borrow());
+        state.drain.may_leave(held, state.core.longest(), self.0.clock.now())
     }
 
     /// The figures, one a line.
--- a/src/instance/reload.rs
+++ b/src/instance/reload.rs
@@ -1,10 +1,13 @@
 //! A new configuration for a controller at work: what can change does so at once, no call and no count is lost.
 
+use std::time::Duration;
+
 use crate::config::InstanceConfig;
+use crate::directory::bulletin::Page;
 use crate::instance::follow::Followed;
 use crate::instance::open::random;
 use crate::instance::{Instance, State};
-use crate::interface::Time;
+use crate::interface::{Span, Time};
 use crate::upstream::Todo;
 
 impl State {
@@ -18,11 +21,20 @@
 impl Instance {
     /// Takes over a configuration that was read anew: the bulletin and DNS-SD to follow, what is known, peers, limits
     /// and settings. Returns the keys that only a restart can change and that stay as they were.
-    pub fn reload(&self, config: InstanceConfig) -> Vec<&'static str> {
+    pub fn reload(&self, mut config: InstanceConfig) -> Vec<&'static str> {
         let mut kept = Vec::new();
         {
             let mut state = self.0.state.borrow_mut();
             let running = &self.0.bound_to;
+            let fits = state.core.reconfigure(config.core.clone());
+            if !fits {
+                // Settings stay or go as a whole. Guards against calls served by the classes of one file and the zones,
+                // times and limits of another: what goes with the settings stays with them.
+                config.zones = self.0.followed.borrow().zones.clone();
+                config.usual_left = state.callers.usual_left();
+                config.known = Page::default(); // read by the zones of the other file; the bulletin tells it too
+                config.connect_timeout = span_of(self.0.connect_timeout.get());
+            }
             let checks = [
                 ("name", running.name == config.name),
                 ("listen", running.listen == config.listen),
@@ -34,13 +46,13 @@
                     running.iax2.as_ref().map(|i| i.listen) == config.iax2.as_ref().map(|i| i.listen),
                 ),
                 ("iax2.from", running.iax2.as_ref().map(|i| i.from) == config.iax2.as_ref().map(|i| i.from)),
-                ("settings.classes", state.core.reconfigure(config.core.clone())),
+                ("settings.classes", fits),
             ];
             kept.extend(checks.into_iter().filter(|(_, same)| !same).map(|(key, _)| key));
             state.peers = config.peers.clone();
             let iax2 = config.iax2.as_ref().map(|iax2| (iax2.tokens, iax2.bounds));
             let (tokens, bounds) = iax2.unwrap_or_default();
-            state.callers.reconfigure(config.usual_left, tokens, bounds);
+            state.callers.reconfigure(config.usual_left, &config.zones, tokens, bounds);
             state.servers.introduce(config.secrets.account.as_ref());
             match random() {
                 Ok(key) => state.callers.examine(config.secrets.users.as_ref(), key),
@@ -50,6 +62,7 @@
             state.sip.set_most_links(config.limits.links());
             state.tally.reloads += 1;
         }
+        self.0.connect_timeout.set(Duration::from_micros(config.connect_timeout.0));
         let now = self.0.clock.now();
         self.turn(|state, todo| {
             state.callers.expire(now, todo);
@@ -60,7 +73,7 @@
         self.0.server_bytes.set_most(config.limits.eighth());
         // News that the file holds beyond what was told so far comes first: the numbers carry on.
         let known = config.known.clone();
-        self.page(known);
+        let _ = self.page(known); // what of it cannot be read, the bulletin is asked for
         self.0.followed.send_if_modified(|followed| {
             let next = Followed::of(&config);
             let changed = *followed != next;
@@ -75,3 +88,7 @@
         self.0.state.borrow_mut().tally.reload_failures += 1;
     }
 }
+
+fn span_of(time: Duration) -> Span {
+    Span(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
+}
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -120,7 +120,7 @@
         // error tells of it.
         let mut interest = if reading && !rests { Interest::READABLE } else { Interest::ERROR };
         if queue.may_write() {
-            interest = interest | Interest::WRITABLE;
+            interest |= Interest::WRITABLE;
         }
         let ready = tokio::select! {
             _ = queue.changed() => continue,
--- a/tests/iax2_registration.rs
+++ b/tests/iax2_registration.rs
@@ -43,7 +43,7 @@
         let usual =
             Usual { class: "c".into(), left: Span::from_millis(9_000), zones: vec!["east".into()], seed: 1 };
         let mut front = Callers::new(usual, Door::new(Tokens::Required, [2; 32]));
-        front.reconfigure(Span::from_millis(9_000), Tokens::Required, Default::default());
+        front.reconfigure(Span::from_millis(9_000), &[], Tokens::Required, Default::default());
         front.examine(Users::parse(USERS).ok().as_ref(), [3; 32]);
         let at = SocketAddr::from(([127, 0, 0, 1], 4_001));
         Pair { front, peer: Legs::default(), at, now: Time(1_700_000_000_000_000), list: None, due: None }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -249,11 +249,16 @@
     on_one_thread(async {
         let world = World::default();
         let hand = Hand::narrow("s0").await;
-        let (controller, _bulletin) = Controller::with_hands(&world, &[&hand], |_| {}).await;
+        let (controller, _bulletin) = Controller::with_hands(&world, &[&hand], |c| {
+            support::unhurried(c);
+            c.connect_timeout = lockpoint::interface::Span::from_millis(60_000);
+        })
+        .await;
         let mut wire = hand.greets().await;
         let speaks = |i: &lockpoint::instance::Instance| i.counters().connected == 1;
         controller.turns("a connection", speaks).await;
-        // It reads nothing from here on. A caller asks for more at once than the connection takes.
+        let _fill = hand.fill(); // no other comes up beside it
+                                 // It reads nothing from here on. A caller asks for more at once than the connection takes.
         const ALL: u64 = 250;
         let mut caller = TcpStream::connect(controller.at).await.expect("it listens");
         let all: String = (1..=ALL).map(|n| ask(&name(n), &"y".repeat(14_000))).collect();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -141,22 +141,27 @@
         let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
         socket.set_recv_buffer_size(4_096).expect("set");
         socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
-        let listener = socket.listen(64).expect("it listens");
+        let listener = socket.listen(1).expect("it listens");
         Hand { at: listener.local_addr().expect("an address"), name: name.to_owned(), listener }
     }
+    /// Fills the queue of connections: no more come up until those that fill it are accepted.
+    pub fn fill(&self) -> Vec<std::net::TcpStream> {
+        let mut fill = Vec::new();
+        while let Ok(stream) = std::net::TcpStream::connect_timeout(&self.at, Duration::from_millis(200)) {
+            fill.push(stream);
+            assert!(fill.len() < 16, "the queue of connections has an end");
+        }
+        fill
+    }
     /// One to which no connection comes up until it accepts: its queue of connections is full. Those that fill it come
     /// along.
     pub async fn full(name: &str) -> (Hand, Vec<std::net::TcpStream>) {
         let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
         socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
         let listener = socket.listen(1).expect("it listens");
-        let at = listener.local_addr().expect("an address");
-        let mut fill = Vec::new();
-        while let Ok(stream) = std::net::TcpStream::connect_timeout(&at, Duration::from_millis(200)) {
-            fill.push(stream);
-            assert!(fill.len() < 16, "the queue of connections has an end");
-        }
-        (Hand { at, name: name.to_owned(), listener }, fill)
+        let hand = Hand { at: listener.local_addr().expect("an address"), name: name.to_owned(), listener };
+        let fill = hand.fill();
+        (hand, fill)
     }
     /// The next connection, on which nothing has been said.
     pub async fn accept(&self) -> Wire {
@@ -244,3 +249,9 @@
         (controller, bulletin)
     }
 }
+
+/// Aims so long that no call is refused for want of haste, however busy the machine is.
+pub fn unhurried(config: &mut InstanceConfig) {
+    let aim = lockpoint::interface::Span::from_millis(600_000);
+    config.core.settings.classes.iter_mut().for_each(|class| class.aim = aim);
+}
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -451,3 +451,77 @@
     drop(new);
     assert!(old.hand_over(b"all", &[]).is_err());
 }
+
+/// A hand-over with calls that wait: one in its rest, one on a connection that is still coming up, one that is given up in
+/// the moment when the process changes. Each is seen to once, and no rest is cut short.
+#[test]
+fn a_hand_over_with_calls_that_wait() {
+    on_one_thread(async {
+        let place = Place::new("waits", Does::Silent).await;
+        let world = &place.world;
+        let hand = support::Hand::start("s1").await;
+        let (late, fill) = support::Hand::full("s2").await;
+        place.bulletin.tell(false, vec![hand.host(1, "ready"), late.host(2, "ready")]);
+        let long = |text: &mut serde_json::Value| {
+            text["settings"]["bounds"]["connect-timeout-us"] = json!(60_000_000u64);
+        };
+        let first = place.start_with(place.a_console(), long);
+        until("it can serve", async || first.call("PING").await.starts_with("SUCCESS")).await;
+        until("all are known", async || first.call("INFO").await.contains("controller.members:3|g")).await;
+        let mut wire = hand.greets().await;
+        let caller = Caller::connect(world, "c", place.at()).await;
+        caller.open(&name(2), 9_000, 2, "x").await;
+        caller.open(&name(3), 9_000, 0, "x").await;
+        world.until("it is out", set_up(&name(3))).await;
+        caller.open(&name(1), 9_000, 1, "x").await;
+        assert_eq!(wire.hears("INVITE").await, name(1));
+        let reset = Instant::now();
+        wire.replies(&name(1), 504, "").await;
+        wire.hears("ACK").await;
+        let second = place.start_with(place.a_console(), long);
+        // Said to whichever of the two reads it.
+        caller.close(&name(3), 16).await;
+        let (code, log) = first.end().await;
+        assert_eq!(code, Some(0), "{log}");
+        world.until("the end of the one that was out", is(&name(3), What::Cancel)).await;
+        // The rest that began in one process ends in the other.
+        let call = name(1);
+        let again = tokio::select! {
+            call = wire.hears("INVITE") => call,
+            seen = world.until("elsewhere", set_up(&call)) => seen.sid,
+        };
+        assert_eq!(again, name(1));
+        assert!(reset.elapsed() >= Duration::from_millis(500), "after {:?}", reset.elapsed());
+        if world.count(set_up(&name(1))) == 0 {
+            wire.answers(&name(1), "y").await;
+        } else {
+            let text = format!(
+                "SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 1 INVITE\r\nContent-Length: 1\r\n\r\ny",
+                name(1)
+            );
+            place.server.say(text.as_bytes());
+        }
+        assert_eq!(world.answer(&name(1)).await.what, What::Ready("y".into()));
+        // The connection that one process had begun, the other makes.
+        drop(fill);
+        let mut kept = Vec::new();
+        loop {
+            let mut wire = late.greets().await;
+            if let Ok(Some((method, call))) =
+                tokio::time::timeout(Duration::from_millis(1_000), wire.next()).await
+            {
+                assert_eq!((method.as_str(), call), ("INVITE", name(2)));
+                wire.answers(&name(2), "z").await;
+                break;
+            }
+            kept.push(wire);
+        }
+        assert_eq!(world.answer(&name(2)).await.what, What::Ready("z".into()));
+        let info = second.call("INFO").await;
+        assert!(info.contains("controller.pending:2|g"), "two stand and nothing waits: {info}");
+        for n in 1..=3 {
+            let finals = |s: &Seen| s.sid == name(n) && matches!(s.what, What::Ready(_) | What::Close(..));
+            assert_eq!(world.count(finals), usize::from(n < 3), "call {n}");
+        }
+    });
+}
