Settings go by place only where places are the same; instances listed again start anew

Read on, line by line: reloads, hand-overs and the agent.

- Zones go by their places in the settings, like classes, but a reload and a hand-over looked at classes alone: after a new order of zones, call servers known stood in others' zones until they were told of again.
Now such a reload is named (settings.zones) and keeps all settings, and such a successor starts anew.
Further zones at the end are taken.
- A reload took the peers of a file that gives this controller another number in the fleet, while Core kept the number, and with a new `life` in its configuration.
Named now (fleet), and both stay.
- An agent's file that lists an instance again while it ends: the reload went to the one that ends (Agent::reload), then nothing ran.
It is kept and opened once the old one has ended.
The tool's side of the socket moved to control/client.rs.
- A bulletin that closes its connection after each answer counted as failing, and was asked again after 250 ms: as long as a drain may take to be heard.
One that ends between two answers has done its work and is asked again after 20 ms.

--- a/src/control.rs
+++ b/src/control.rs
@@ -1,5 +1,7 @@
 //! The agent's control socket: one JSON request a line in, one JSON answer a line out.
 
+mod client;
+
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::os::unix::fs::PermissionsExt;
@@ -13,13 +15,14 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
-use crate::config::{self, OperatorConfig};
+use crate::config::{self, InstanceConfig, OperatorConfig};
 use crate::console::{Answer, Call};
-use crate::counters::Counters;
 use crate::drain::Phase;
 use crate::instance::{Bound, Instance, StartError};
 use crate::interface::ServerState;
 
+pub use client::{ask, stats_line, AskError};
+
 /// The longest line taken.
 const LONGEST: u64 = 64 * 1024;
 /// A client that says nothing for so long is dropped.
@@ -138,22 +141,6 @@
     },
 }
 
-/// A control socket that does not answer.
-#[derive(Debug, thiserror::Error)]
-pub enum AskError {
-    /// Nobody is there.
-    #[error("no agent answers at {}: {why}", path.display())]
-    Nobody {
-        /// Where.
-        path: PathBuf,
-        /// Why.
-        why: io::Error,
-    },
-    /// What came is no answer.
-    #[error("the agent's answer cannot be read: {0}")]
-    Answer(String),
-}
-
 struct Running {
     name: String,
     listen: Option<String>,
@@ -162,6 +149,8 @@
     instance: Instance,
     stop: Rc<Notify>,
     done: Rc<Cell<bool>>,
+    /// Listed again while it ends: it starts anew by this once it has ended.
+    again: Rc<RefCell<Option<InstanceConfig>>>,
 }
 
 struct Agent {
@@ -265,6 +254,7 @@
 impl Agent {
     fn start(self: &Rc<Self>, bound: Bound) {
         let (stop, done) = (Rc::new(Notify::new()), Rc::new(Cell::new(false)));
+        let again: Rc<RefCell<Option<InstanceConfig>>> = Rc::default();
         let text = |address: Option<std::net::SocketAddr>| address.map(|a| a.to_string());
         let running = Running {
             name: bound.handle().name().to_owned(),
@@ -274,7 +264,13 @@
             instance: bound.handle(),
             stop: stop.clone(),
             done: done.clone(),
+            again: again.clone(),
         };
+        // Guards against an agent that never ends: this one was being opened when all were told to stop.
+        if *self.end.borrow() {
+            running.instance.begin_stop();
+            running.stop.notify_one();
+        }
         // One that has ended and is listed again takes its old place.
         let mut all = self.running.borrow_mut();
         all.retain(|other| other.name != running.name);
@@ -284,10 +280,22 @@
             let counters = bound.run(async move { stop.notified().await }).await;
             tracing::info!("{}", counters.line());
             done.set(true);
+            let anew = again.take().filter(|_| !*agent.end.borrow());
+            if let Some(config) = anew {
+                agent.open(config).await.unwrap_or_else(|why| tracing::error!("{why}"));
+            }
             agent.changed.notify_one();
         });
     }
 
+    async fn open(self: &Rc<Self>, config: InstanceConfig) -> Result<(), String> {
+        let name = config.name.clone();
+        let bound = Bound::open(config).await;
+        let bound = bound.map_err(|why| AgentError::Start { name, why }.to_string())?;
+        self.start(bound);
+        Ok(())
+    }
+
     /// Rereads the operator's file. Guards against a bad file that takes the place of a good one: nothing changes then.
     async fn reload(self: &Rc<Self>) -> Result<(), String> {
         let config = match config::from_file(&self.file) {
@@ -304,6 +312,7 @@
         }
         let unlisted = |r: &&Running| !config.instances.iter().any(|listed| listed.name == r.name);
         for running in self.running.borrow().iter().filter(unlisted) {
+            running.again.take();
             running.instance.begin_stop();
             running.stop.notify_one();
         }
@@ -313,20 +322,18 @@
             let at_work = {
                 let all = self.running.borrow();
                 let found = all.iter().find(|r| r.name == name && !r.done.get());
-                found.map(|r| r.instance.clone())
+                found.map(|r| (r.instance.clone(), r.again.clone()))
             };
             match at_work {
-                Some(instance) => {
+                Some((instance, again)) if instance.stopping() => drop(again.replace(Some(listed))),
+                Some((instance, _)) => {
                     let kept = instance.reload(listed);
                     if !kept.is_empty() {
                         let keys = kept.join(", ");
                         tracing::warn!("instance '{name}': only a restart can change {keys}");
                     }
                 }
-                None => match Bound::open(listed).await {
-                    Ok(bound) => self.start(bound),
-                    Err(why) => faults.push(AgentError::Start { name, why }.to_string()),
-                },
+                None => faults.extend(self.open(listed).await.err()),
             }
         }
         if faults.is_empty() {
@@ -428,21 +435,3 @@
             .collect()
     }
 }
-
-/// Asks the agent at this socket.
-pub async fn ask(path: &Path, request: &Request) -> Result<Reply, AskError> {
-    let nobody = |why| AskError::Nobody { path: path.to_owned(), why };
-    let mut stream = UnixStream::connect(path).await.map_err(nobody)?;
-    let mut line = serde_json::to_string(request).map_err(|e| AskError::Answer(e.to_string()))?;
-    line.push('\n');
-    stream.write_all(line.as_bytes()).await.map_err(nobody)?;
-    let mut text = String::new();
-    let read = tokio::time::timeout(PATIENCE, stream.read_to_string(&mut text)).await;
-    read.map_err(|_| AskError::Answer("it did not come in time".to_owned()))?.map_err(nobody)?;
-    serde_json::from_str(&text).map_err(|e| AskError::Answer(e.to_string()))
-}
-
-/// The counters of an instance as one line of text.
-pub fn stats_line(counters: &serde_json::Value) -> String {
-    serde_json::from_value::<Counters>(counters.clone()).map_or_else(|_| counters.to_string(), |c| c.line())
-}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -317,11 +317,20 @@
             return false;
         }
         self.module.reconfigure(config.settings.clone());
-        // The seed is one start's: the module's random numbers carry on.
-        self.config = CoreConfig { seed: self.config.seed, ..config };
+        // The seed is one start's: the module's random numbers carry on. So do its number and life among the others.
+        let (seed, fleet) = (self.config.seed, self.config.fleet.take());
+        self.config = CoreConfig { seed, fleet, ..config };
         true
     }
 
+    /// Whether a configuration has it take part among the controllers as it does now.
+    pub fn same_fleet(&self, other: Option<&FleetConfig>) -> bool {
+        let part = |fleet: &FleetConfig| {
+            (fleet.me, fleet.controllers, fleet.fanout, fleet.bytes_a_second, fleet.stale)
+        };
+        self.config.fleet.as_ref().map(part) == other.map(part)
+    }
+
     /// From when on set-ups are refused; `None`: they are taken.
     pub fn close_at(&mut self, at: Option<Time>) {
         self.closes_at = at;
--- a/src/directory/bulletin.rs
+++ b/src/directory/bulletin.rs
@@ -298,11 +298,16 @@
     let mut again = AGAIN.0;
     loop {
         let before = cursor.borrow().after();
-        if let Err(error) = session(address, cursor, zones, &mut take).await {
+        let ended = session(address, cursor, zones, &mut take).await;
+        // One that was ended in order, or brought news, is no failure: what is told between two polls is heard late.
+        if ended.is_ok() || cursor.borrow().after() > before {
+            again = AGAIN.0;
+        }
+        if let Err(error) = ended {
             failed(error);
         }
         tokio::time::sleep(again).await;
-        again = if cursor.borrow().after() > before { AGAIN.0 } else { (again * 2).min(AGAIN.1) };
+        again = (again * 2).min(AGAIN.1);
     }
 }
 
@@ -317,13 +322,18 @@
     let mut stream = timeout(CONNECT, TcpStream::connect(address)).await.map_err(late)?.map_err(broken)?;
     let _ = stream.set_nodelay(true);
     let mut bytes: Vec<u8> = Vec::new();
+    let mut answered = false;
     loop {
         let (asked, before) = (Instant::now(), cursor.borrow().after());
         let ask = format!(
             "GET /bulletins?after={}&patience={PATIENCE_MS} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n",
             before
         );
-        stream.write_all(ask.as_bytes()).await.map_err(broken)?;
+        // A connection that has brought answers and ends between two of them has done its work.
+        let over = |end: BulletinError, none: bool| if answered && none { Ok(()) } else { Err(end) };
+        if let Err(error) = stream.write_all(ask.as_bytes()).await {
+            return over(broken(error), true);
+        }
         let mut ended = false;
         let mut whole_by = Instant::now() + Duration::from_millis(PATIENCE_MS) + WHOLE_WITHIN;
         let body = loop {
@@ -339,12 +349,17 @@
             }
             let first = bytes.is_empty();
             let read = timeout_at(whole_by, stream.read_buf(&mut bytes)).await;
-            ended = read.map_err(late)?.map_err(broken)? == 0;
+            ended = match read.map_err(late)? {
+                Ok(0) if first => return over(BulletinError::Connection("closed".to_owned()), true),
+                Ok(n) => n == 0,
+                Err(error) => return over(broken(error), first),
+            };
             if first {
                 whole_by = whole_by.min(Instant::now() + WHOLE_WITHIN);
             }
         };
         take(parse_page(&body, zones)?)?;
+        answered = true;
         if ended {
             return Ok(());
         }
--- a/src/instance/handover.rs
+++ b/src/instance/handover.rs
@@ -57,6 +57,7 @@
     now: Time,
     after: u64,
     classes: &'a [Rc<str>],
+    zones: &'a [String],
     next_client: u64,
     drain: Drain,
     core: &'a Core,
@@ -70,6 +71,9 @@
     now: Time,
     after: u64,
     classes: Vec<Rc<str>>,
+    /// A predecessor of an older build does not tell them.
+    #[serde(default)]
+    zones: Vec<String>,
     next_client: u64,
     drain: Drain,
     core: Core,
@@ -96,6 +100,9 @@
         if held.classes != config.core.classes {
             return Err(unusable("the list of classes differs".to_owned()));
         }
+        if !config.zones.starts_with(&held.zones) {
+            return Err(unusable("the list of zones differs".to_owned()));
+        }
         let forms = std::mem::take(&mut held.sockets);
         if forms.len() != sockets.len() {
             return Err(unusable(format!("{} sockets of {}", sockets.len(), forms.len())));
@@ -296,10 +303,12 @@
         for ((side, no), line) in &state.lines {
             add(Socket::Line(*side, *no, line.read_so_far().into()), line.stream().as_fd());
         }
+        let followed = self.0.followed.borrow();
         let holds = Holds {
             now: self.0.clock.now(),
             after: self.0.heard.borrow().after(),
             classes: state.core.classes(),
+            zones: &followed.zones,
             next_client: state.next_client,
             drain: state.drain,
             core: &state.core,
--- a/src/instance/reload.rs
+++ b/src/instance/reload.rs
@@ -26,8 +26,11 @@
         {
             let mut state = self.0.state.borrow_mut();
             let running = &self.0.bound_to;
-            let fits = state.core.reconfigure(config.core.clone());
-            if !fits {
+            // Call servers and calls know their zones and classes by their places: new ones may follow, no other may take
+            // a place.
+            let zones = config.zones.starts_with(&self.0.followed.borrow().zones);
+            let classes = config.core.classes == state.core.classes();
+            if !(zones && classes && state.core.reconfigure(config.core.clone())) {
                 // Settings stay or go as a whole. Guards against calls served by the classes of one file and the zones,
                 // times and limits of another: what goes with the settings stays with them.
                 config.zones = self.0.followed.borrow().zones.clone();
@@ -35,6 +38,10 @@
                 config.known = Page::default(); // read by the zones of the other file; the bulletin tells it too
                 config.connect_timeout = span_of(self.0.connect_timeout.get());
             }
+            let fleet = state.core.same_fleet(config.core.fleet.as_ref());
+            if !fleet {
+                config.peers = state.peers.clone(); // they go by the numbers that the others know them by
+            }
             let checks = [
                 ("name", running.name == config.name),
                 ("listen", running.listen == config.listen),
@@ -46,7 +53,9 @@
                     running.iax2.as_ref().map(|i| i.listen) == config.iax2.as_ref().map(|i| i.listen),
                 ),
                 ("iax2.from", running.iax2.as_ref().map(|i| i.from) == config.iax2.as_ref().map(|i| i.from)),
-                ("settings.classes", fits),
+                ("fleet", fleet),
+                ("settings.zones", zones),
+                ("settings.classes", classes),
             ];
             kept.extend(checks.into_iter().filter(|(_, same)| !same).map(|(key, _)| key));
             state.peers = config.peers.clone();
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -179,6 +179,26 @@
     desk.says(&["stop"]);
 }
 
+/// Guards against an instance that is listed and does not run: its file named it again while it was ending.
+#[test]
+fn an_instance_that_is_listed_again_while_it_ends_starts_anew() {
+    let (mut desk, quiet) = (Desk::new("again"), Quiet::new());
+    let file = desk.file("agent.toml", &example(&quiet));
+    desk.start(&file);
+    let one = example(&quiet);
+    let second = one.match_indices("[[instance]]").nth(1).expect("two are listed").0;
+    desk.file("agent.toml", &one[..second]);
+    desk.says(&["reload"]);
+    assert!(desk.says(&["status", "judges"]).contains("judges  ending"), "it takes a second to end");
+    desk.file("agent.toml", &one);
+    desk.says(&["reload"]);
+    desk.until("it is there anew", |desk| desk.says(&["status", "judges"]).contains("judges  waiting"));
+    assert!(desk.says(&["stats", "judges"]).contains(" reloads=0 "), "and is another than before");
+    desk.says(&["stop"]);
+    let agent = desk.agent.take().expect("started").wait_with_output().expect("it ends");
+    assert!(agent.status.success(), "{agent:?}");
+}
+
 #[test]
 fn bad_configuration_is_one_line_that_names_file_and_key_and_an_exit_code() {
     let (desk, quiet) = (Desk::new("check"), Quiet::new());
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -492,6 +492,26 @@
     });
 }
 
+/// A bulletin that closes after each answer, without news: what it tells between two polls is heard soon, however often it
+/// had none.
+#[test]
+fn a_list_whose_bulletin_closes_after_each_answer() {
+    on_one_thread(async {
+        let (board, hand) = (Board::start().await, Hand::start("s0").await);
+        let controller = Controller::start(config(board.at())).await;
+        let mut poll = board.poll().await;
+        poll.tells(&json!({"no": 1, "items": [event(1, &[hand.host(0, "ready")])]})).await;
+        drop(poll);
+        let (began, polls) = (Instant::now(), 12);
+        for _ in 0..polls {
+            board.poll().await.tells(&json!({"no": 1, "items": []})).await;
+        }
+        // Growing waits, up to 250 ms each, would make it over two seconds.
+        assert!(began.elapsed() < Duration::from_millis(1_500), "{polls} polls in {:?}", began.elapsed());
+        assert!(controller.instance.ready());
+    });
+}
+
 /// A watch of DNS-SD records ends because the configuration is read anew, and a call server leaves before the next one has
 /// begun: it is gone from the list. So are all where the file names no records any more.
 #[rstest]
@@ -722,7 +742,17 @@
         other.core.classes = vec!["another".into()];
         other.zones = vec!["elsewhere".into(), "east".into()];
         other.core.longest = Span::from_millis(100);
-        assert_eq!(controller.instance.reload(other), ["settings.classes"]);
+        assert_eq!(controller.instance.reload(other.clone()), ["settings.zones", "settings.classes"]);
+        other.core.classes = vec!["judge-call".into()];
+        assert_eq!(controller.instance.reload(other.clone()), ["settings.zones"]);
+        // Further zones take nobody's place.
+        other.zones = vec!["east".into(), "elsewhere".into()];
+        other.core.longest = Span::from_millis(9_000);
+        assert!(controller.instance.reload(other.clone()).is_empty());
+        // Another number among the controllers, for which the others would not know it.
+        other.core.fleet =
+            Some(lockpoint::fleet::FleetConfig { me: 1, controllers: 2, ..Default::default() });
+        assert_eq!(controller.instance.reload(other), ["fleet"]);
         // A line that names its zone comes after that: it is read by the zones that the settings in force name.
         bulletin.tell(false, vec![hand.host(0, "ready")]);
         let second = Hand::start("s1").await;
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -359,9 +359,14 @@
     });
 }
 
-/// Another list of classes cannot go by the old one's places: the new process starts anew and the old one finishes.
-#[test]
-fn a_successor_that_cannot_use_what_is_held_starts_anew_and_the_predecessor_finishes() {
+/// Another list of classes or zones cannot go by the old one's places: the new process starts anew, the old one finishes.
+#[rstest]
+#[case::classes("/settings/classes/0/name", json!("ruling"))]
+#[case::zones("/settings/zones", json!(["west", "east"]))]
+fn a_successor_that_cannot_use_what_is_held_starts_anew_and_the_predecessor_finishes(
+    #[case] key: &str,
+    #[case] value: serde_json::Value,
+) {
     on_one_thread(async {
         let place = Place::new("classes", answers("a")).await;
         let world = &place.world;
@@ -371,7 +376,7 @@
         caller.open(&name(1), 9_000, 0, "x").await;
         world.until("it is out", set_up(&name(1))).await;
         let second = place.start_with(place.a_console(), |text| {
-            text["settings"]["classes"][0]["name"] = json!("ruling");
+            *text.pointer_mut(key).expect("there") = value.clone();
         });
         until("it can serve", async || second.call("PING").await.starts_with("SUCCESS")).await;
         let out =
