--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -21,6 +21,9 @@
 /// A caller's message must be whole within this from its first byte on.
 const WHOLE_WITHIN: Duration = Duration::from_millis(1_500);
 
+/// So often is looked for the rest of a message before its connection is ended.
+const REST_LOOK: Span = Span::from_millis(50);
+
 /// A door is closed when nobody has come to it for so long, and after so long at the latest.
 const QUIET: Duration = Duration::from_millis(5);
 const CLOSES_WITHIN: Duration = Duration::from_millis(100);
@@ -41,6 +44,12 @@
                 self.guests.write(no, jsonl::trying(sid));
             }
         }
+        // Guards against a set-up of which a part is read, and which is too old to be made again when our close crosses its
+        // rest. One that does not become whole ends its connection by itself.
+        let begun = self.lines.get(&(Side::Caller, no)).is_some_and(|line| line.has_begun());
+        if begun && self.guests.waits_for_the_rest(no, now) {
+            return todo.dues.push((now.plus(REST_LOOK), WirePart::Guests, no));
+        }
         if let Some(came) = self.guests.owed_nothing(no) {
             match self.drain.look(came, carries, now) {
                 Door::Stays => {}
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -78,6 +78,10 @@
     pub fn stream(&self) -> &TcpStream {
         &self.stream
     }
+    /// Whether a message has begun and is not whole.
+    pub fn has_begun(&self) -> bool {
+        self.part.borrow().is_some()
+    }
     /// What has been read and belongs to no whole message yet.
     pub fn read_so_far(&self) -> Vec<u8> {
         self.part.borrow().as_ref().map(|buffer| buffer.filled().to_vec()).unwrap_or_default()
--- a/src/net/guests.rs
+++ b/src/net/guests.rs
@@ -14,6 +14,8 @@
 /// A connection on which nothing was asked that got an answer ends after this. Guards against connections that say
 /// nothing and fill the controller; they are owed their end within 3 s.
 const SPEAK_WITHIN: Span = Span::from_millis(2_000);
+/// The same where a message has begun on it: its rest is waited for, though not beyond what is owed to the silent.
+const BEGUN_WITHIN: Span = Span::from_millis(2_900);
 /// A connection that owes and carries nothing ends after this. Callers end theirs after 4 s; those that never do
 /// would fill the controller in the course of a day.
 const IDLE: Span = Span::from_millis(5_000);
@@ -203,6 +205,12 @@
         taken
     }
 
+    /// Whether the rest of a message that has begun on a connection is waited for before it is ended for want of use.
+    pub fn waits_for_the_rest(&self, no: u64, now: Time) -> bool {
+        let waits = |guest: &Guest| !guest.ending && (guest.told || now < guest.since.plus(BEGUN_WITHIN));
+        self.connections.get(&no).is_some_and(waits)
+    }
+
     /// Looks whether a connection has stayed for too long without use; `carries`: a call that stands was asked for
     /// on it.
     pub fn look(&mut self, no: u64, carries: bool, now: Time) -> Look {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -168,6 +168,41 @@
     });
 }
 
+/// SIGTERM ends connections that are owed nothing, and on one of them half a set-up has come: its rest is waited for, and it
+/// is answered there.
+#[test]
+fn sigterm_and_half_a_set_up() {
+    on_one_thread(async {
+        let world = World::default();
+        let hand = Hand::start("s0").await;
+        let (controller, _b) = Controller::with_hands(&world, &[&hand], |_| {}).await;
+        let mut wire = hand.greets().await;
+        let mut idle = TcpStream::connect(controller.at).await.expect("it listens");
+        let mut caller = TcpStream::connect(controller.at).await.expect("it listens");
+        let attrs = json!({"class": "judge-call", "left": "9000", "key": "7f"});
+        let open = json!({"msg": "open", "sid": name(1), "attrs": attrs, "text": "x"}).to_string();
+        caller.write_all(&open.as_bytes()[..open.len() / 2]).await.expect("written");
+        controller.turns("both are there", |i| i.counters().clients == 2).await;
+        controller.ask_to_stop();
+        // The other one that is owed nothing has been ended.
+        in_time("the end", idle.read_to_string(&mut String::new())).await.expect("read");
+        caller.write_all(&open.as_bytes()[open.len() / 2..]).await.expect("written");
+        caller.write_all(b"\n").await.expect("written");
+        // Taken, or refused if the process takes nothing more by now; answered in any case.
+        let (mut lines, mut line) = (BufReader::new(caller), String::new());
+        tokio::select! {
+            read = lines.read_line(&mut line) => drop(read.expect("read")),
+            _ = wire.hears("INVITE") => {
+                wire.answers(&name(1), "y").await;
+                in_time("an answer", lines.read_line(&mut line)).await.expect("read");
+            }
+        }
+        assert!(line.contains(&name(1)) && (line.contains("ready") || line.contains("42")), "{line:?}");
+        drop(lines);
+        controller.stop().await;
+    });
+}
+
 /// A caller gives up in the moment of SIGTERM: nothing is owed, and the process ends.
 #[test]
 fn sigterm_and_a_caller_who_gives_up() {
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -384,6 +384,7 @@
         place.server.say(out.as_bytes());
         assert_eq!(world.answer(&name(1)).await.what, What::Ready("y".into()));
         let (code, log) = first.end().await;
+        assert!(log.contains("asked to leave by a successor that starts anew"), "{log}");
         assert_eq!(code, Some(0), "{log}");
     });
 }
