The end of a call is said again where its connection closes before it is read

Seen: a call server closes a connection in the moment when the controller says the end of a call on it (BYE). Found by reading Trunks::end_link for what of a connection's queue is settled when it ends: set-ups are, by how far they had come; what had left besides was taken for heard. A BYE that had not left was put by for the next connection to come even where another stood, and there may be no next one.

Ruled out: CANCELs, since a closed connection gives up the set-ups on it; IAX2, whose HANGUP is said until it is acknowledged.

Changed: a connection remembers the ends said on it that were not confirmed (256, the last 3 s count). When it ends, these and what had not left go on another that stands, else on the next; a 200 to BYE takes one off. Said twice, a BYE is of no harm: the call server does not know the call any more. Tests: the crossing over loopback, with the confirmation, and the choice of another connection.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -448,7 +448,7 @@
                     self.servers.hang_up(server, sid, CAUSE_CLEARED, now, todo);
                 }
                 Effect::Bye(server, sid, cause) => {
-                    self.sip.bye(server, sid, cause, todo);
+                    self.sip.bye(server, sid, cause, now, todo);
                     self.servers.hang_up(server, sid, cause, now, todo);
                 }
                 Effect::Reach { server, dial, protocol: Protocol::Sip, fresh } => {
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -39,9 +39,12 @@
 /// vanished: their callers are owed a release within 8 s, and any call may have ended with the first moment, or a little
 /// ahead of it on a connection that fell silent first.
 const CUT_AFTER: Span = Span::from_millis(6_500);
-/// Set-ups given up on a connection that are remembered; later ones push out the first. More than leave on one within the
-/// time that a call is tried for.
+/// Set-ups given up on a connection, and ends of calls said on it, that are remembered; later ones push out the first. More
+/// than leave on one within the time that a call is tried for.
 const MOST_GIVEN_UP: usize = 256;
+/// The end of a call that was said so lately on a connection which ends, and not confirmed, is said again on another. What
+/// is older was heard by a call server that confirms nothing, or its connection would have broken under it before.
+const SAID_AGAIN: Span = Span::from_millis(3_000);
 /// Messages that may wait for the next connection.
 const MOST_WAITING: usize = 4_096;
 /// Stands in for a number that is not known, in the first line of a request that only its `Call-ID` matters for.
@@ -78,6 +81,8 @@
     out: BTreeMap<Sid, SetUpOut>,
     /// Set-ups that had left when they were given up, the latest last: a last word on them may still come.
     given_up: VecDeque<Sid>,
+    /// Ends of calls said on it that nobody has confirmed, the latest last.
+    unheard: VecDeque<(Sid, Bytes, Time)>,
     /// When the first set-up went out since anything was heard.
     asked: Option<Time>,
     /// The last word on it.
@@ -93,6 +98,14 @@
         }
         self.given_up.push_back(sid);
     }
+    /// Says the end of a call.
+    fn says_end(&mut self, sid: Sid, bytes: Bytes, now: Time) {
+        self.queue.push(bytes.clone(), None);
+        if self.unheard.len() >= MOST_GIVEN_UP {
+            self.unheard.pop_front();
+        }
+        self.unheard.push_back((sid, bytes, now));
+    }
     /// Whether a last word on a set-up is about one that was given up here.
     fn was_given_up(&mut self, sid: Sid) -> bool {
         let at = self.given_up.iter().position(|given_up| *given_up == sid);
@@ -116,6 +129,14 @@
     watched: bool,
 }
 
+impl Trunk {
+    /// The connection on which the end of a call is said: one that stands, best one that has spoken since it was asked.
+    fn link_for_ends(&mut self) -> Option<&mut Link> {
+        let up = self.links.values_mut().filter(|l| l.up.is_some());
+        up.max_by_key(|l| l.asked.is_none())
+    }
+}
+
 /// Plain counts of what these wires did.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct SipCounts {
@@ -336,6 +357,7 @@
                 up: None,
                 out: BTreeMap::new(),
                 given_up: VecDeque::new(),
+                unheard: VecDeque::new(),
                 asked: None,
                 heard: Time::default(),
                 speaks: false,
@@ -427,24 +449,20 @@
     }
 
     /// Ends a call that stands there, on any connection, or on the next.
-    pub fn bye(&mut self, server: ServerId, sid: Sid, cause: u16, todo: &mut Todo) {
+    pub fn bye(&mut self, server: ServerId, sid: Sid, cause: u16, now: Time, todo: &mut Todo) {
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         let number = trunk.standing.remove(&sid);
         let extra = format!("Reason: Q.850;cause={cause}\r\n");
         let number = number.as_deref().unwrap_or(NO_NUMBER);
         let bytes = request("BYE", number, sid, (2, "BYE"), &extra, "");
-        let up = trunk.links.values().filter(|l| l.up.is_some()).max_by_key(|l| l.asked.is_none());
-        match up {
-            Some(link) => {
-                link.queue.push(bytes, None);
-            }
-            None if trunk.wanted && trunk.waiting.len() < MOST_WAITING => {
-                trunk.waiting.push_back(bytes);
-                if trunk.links.is_empty() {
-                    self.open_link(server, todo);
-                }
+        if let Some(link) = trunk.link_for_ends() {
+            return link.says_end(sid, bytes, now);
+        }
+        if trunk.wanted && trunk.waiting.len() < MOST_WAITING {
+            trunk.waiting.push_back(bytes);
+            if trunk.links.is_empty() {
+                self.open_link(server, todo);
             }
-            None => {}
         }
     }
 
@@ -553,8 +571,19 @@
             todo.inputs.push(Input::Server(server, *sid, ServerSays::Lost(error)));
         }
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        // Guards against calls left standing whose end was said on a connection that its call server was just closing, and
+        // against what had not left and waits for the next connection while another stands.
+        let again = |(_, bytes, said): &(Sid, Bytes, Time)| {
+            now.since(*said) < SAID_AGAIN && now >= *said && !waiting.contains(bytes)
+        };
+        let again: Vec<(Sid, Bytes, Time)> = link.unheard.iter().filter(|end| again(end)).cloned().collect();
+        if let Some(other) = trunk.link_for_ends() {
+            waiting.into_iter().for_each(|bytes| drop(other.queue.push(bytes, None)));
+            return again.into_iter().for_each(|(sid, bytes, _)| other.says_end(sid, bytes, now));
+        }
         let room = MOST_WAITING.saturating_sub(trunk.waiting.len());
-        trunk.waiting.extend(waiting.into_iter().take(room));
+        let again = again.into_iter().map(|(_, bytes, _)| bytes).filter(|_| trunk.wanted);
+        trunk.waiting.extend(waiting.into_iter().chain(again).take(room));
     }
 
     fn move_on(
@@ -650,7 +679,7 @@
                     (200..=299, Err(_)) => {
                         // A description that is no text cannot be passed on unchanged: the call must not stand.
                         self.counts.malformed += 1;
-                        self.bye(server, sid, 16, todo);
+                        self.bye(server, sid, 16, now, todo);
                         let error = AttemptError { why: Broken::Unreadable, progress: Progress::Answered };
                         ServerSays::Lost(error)
                     }
@@ -661,6 +690,7 @@
                 };
                 todo.inputs.push(Input::Server(server, sid, says));
             }
+            (Start::Answer(_), "BYE", Some(sid)) => link.unheard.retain(|(unheard, ..)| *unheard != sid),
             (Start::Answer(_), _, _) => {}
             (Start::Request(method), _, sid) => match (method.as_str(), sid) {
                 ("BYE", Some(sid)) => {
--- a/src/upstream/sip/tests.rs
+++ b/src/upstream/sip/tests.rs
@@ -187,7 +187,7 @@
     drive.now = again;
     drive.trunks.due(key, &mut todo);
     let next = todo.links[0].0;
-    drive.trunks.bye(SERVER, sid(1), 16, &mut Todo::default());
+    drive.trunks.bye(SERVER, sid(1), 16, drive.now, &mut Todo::default());
     drive.up(next);
     assert!(!drive.trunks.queue_of(next).expect("kept").is_empty());
 }
@@ -406,3 +406,24 @@
         .iter()
         .all(|input| { !matches!(input, Input::Server(_, name, ServerSays::Lost(_)) if *name == sid(2)) }));
 }
+
+/// The end of a call waits on a connection that ends while another stands: it is said there, not kept for the next to come.
+#[test]
+fn the_end_of_a_call_goes_on_another_connection_that_stands() {
+    let (mut drive, first) = Drive::new();
+    drive.up(first);
+    drive.stands(first, 1);
+    drive.invite(2);
+    let second = drive.invite(3).links[0].0;
+    drive.up(second);
+    let queue = |drive: &Drive, no| drive.trunks.queue_of(no).expect("a queue");
+    for no in [first, second] {
+        queue(&drive, no).pretend_written();
+    }
+    drive.trunks.bye(SERVER, sid(1), 16, drive.now, &mut Todo::default());
+    let (on, other) = if queue(&drive, first).is_empty() { (second, first) } else { (first, second) };
+    assert!(queue(&drive, other).is_empty());
+    drive.ends(on, LinkEnd::Ended(End::Reset));
+    let said: Vec<_> = queue(&drive, other).take_rest().iter().map(|item| item.bytes.clone()).collect();
+    assert!(said.len() == 1 && said[0].starts_with(b"BYE"), "{said:?}");
+}
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -286,6 +286,50 @@
     });
 }
 
+/// The end of a call is said on a connection that its call server closes unread in the same moment: it is said again on the
+/// next, and the call does not stay up.
+#[test]
+fn the_end_of_a_call_and_the_close_of_its_connection() {
+    on_one_thread(async {
+        let world = World::default();
+        let hand = Hand::start("s0").await;
+        let (controller, _b) = Controller::with_hands(&world, &[&hand], |_| {}).await;
+        let mut wire = hand.greets().await;
+        let caller = Caller::connect(&world, "c", controller.at).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        wire.hears("INVITE").await;
+        wire.answers(&name(1), "y").await;
+        wire.hears("ACK").await;
+        world.answer(&name(1)).await;
+        caller.close(&name(1), 16).await;
+        let mut come = [0; 4_096];
+        in_time("it has come", async {
+            loop {
+                let n = wire.stream.peek(&mut come).await.expect("there");
+                if come[..n].windows(3).any(|three| three == b"BYE") {
+                    return;
+                }
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
+        wire.reset();
+        let mut next = hand.greets().await;
+        assert_eq!(next.hears("BYE").await, name(1));
+        // Confirmed there, it is not said a third time.
+        next.say(&format!(
+            "SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n",
+            name(1)
+        ))
+        .await;
+        caller.open(&name(2), 9_000, 0, "x").await;
+        next.hears("INVITE").await;
+        next.reset();
+        let mut last = hand.greets().await;
+        assert_eq!(last.next().await, Some(("INVITE".to_owned(), name(2))), "and no BYE before it");
+    });
+}
+
 struct Hears(Rc<RefCell<Vec<u8>>>);
 
 impl Reader for Hears {
