--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -578,7 +578,9 @@
         };
         let again: Vec<(Sid, Bytes, Time)> = link.unheard.iter().filter(|end| again(end)).cloned().collect();
         if let Some(other) = trunk.link_for_ends() {
-            waiting.into_iter().for_each(|bytes| drop(other.queue.push(bytes, None)));
+            for bytes in waiting {
+                let _ = other.queue.push(bytes, None); // one that takes no more is at its end itself
+            }
             return again.into_iter().for_each(|(sid, bytes, _)| other.says_end(sid, bytes, now));
         }
         let room = MOST_WAITING.saturating_sub(trunk.waiting.len());
