--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -168,6 +168,41 @@
     });
 }
 
+/// SIGTERM ends connections that are owed nothing, and on one of them half a set-up has come: its rest is waited for, and it
+/// is answered there.
+#[test]
+fn sigterm_and_half_a_set_up() {
+    on_one_thread(async {
+        let world = World::default();
+        let hand = Hand::start("s0").await;
+        let (controller, _b) = Controller::with_hands(&world, &[&hand], |_| {}).await;
+        let mut wire = hand.greets().await;
+        let mut idle = TcpStream::connect(controller.at).await.expect("it listens");
+        let mut caller = TcpStream::connect(controller.at).await.expect("it listens");
+        let attrs = json!({"class": "judge-call", "left": "9000", "key": "7f"});
+        let open = json!({"msg": "open", "sid": name(1), "attrs": attrs, "text": "x"}).to_string();
+        caller.write_all(&open.as_bytes()[..open.len() / 2]).await.expect("written");
+        controller.turns("both are there", |i| i.counters().clients == 2).await;
+        controller.ask_to_stop();
+        // The other one that is owed nothing has been ended.
+        in_time("the end", idle.read_to_string(&mut String::new())).await.expect("read");
+        caller.write_all(&open.as_bytes()[open.len() / 2..]).await.expect("written");
+        caller.write_all(b"\n").await.expect("written");
+        // Taken, or refused if the process takes nothing more by now; answered in any case.
+        let (mut lines, mut line) = (BufReader::new(caller), String::new());
+        tokio::select! {
+            read = lines.read_line(&mut line) => drop(read.expect("read")),
+            _ = wire.hears("INVITE") => {
+                wire.answers(&name(1), "y").await;
+                in_time("an answer", lines.read_line(&mut line)).await.expect("read");
+            }
+        }
+        assert!(line.contains(&name(1)) && (line.contains("ready") || line.contains("42")), "{line:?}");
+        drop(lines);
+        controller.stop().await;
+    });
+}
+
 /// A caller gives up in the moment of SIGTERM: nothing is owed, and the process ends.
 #[test]
 fn sigterm_and_a_caller_who_gives_up() {
@@ -251,6 +286,50 @@
     });
 }
 
+/// The end of a call is said on a connection that its call server closes unread in the same moment: it is said again on the
+/// next, and the call does not stay up.
+#[test]
+fn the_end_of_a_call_and_the_close_of_its_connection() {
+    on_one_thread(async {
+        let world = World::default();
+        let hand = Hand::start("s0").await;
+        let (controller, _b) = Controller::with_hands(&world, &[&hand], |_| {}).await;
+        let mut wire = hand.greets().await;
+        let caller = Caller::connect(&world, "c", controller.at).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        wire.hears("INVITE").await;
+        wire.answers(&name(1), "y").await;
+        wire.hears("ACK").await;
+        world.answer(&name(1)).await;
+        caller.close(&name(1), 16).await;
+        let mut come = [0; 4_096];
+        in_time("it has come", async {
+            loop {
+                let n = wire.stream.peek(&mut come).await.expect("there");
+                if come[..n].windows(3).any(|three| three == b"BYE") {
+                    return;
+                }
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
+        wire.reset();
+        let mut next = hand.greets().await;
+        assert_eq!(next.hears("BYE").await, name(1));
+        // Confirmed there, it is not said a third time.
+        next.say(&format!(
+            "SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n",
+            name(1)
+        ))
+        .await;
+        caller.open(&name(2), 9_000, 0, "x").await;
+        next.hears("INVITE").await;
+        next.reset();
+        let mut last = hand.greets().await;
+        assert_eq!(last.next().await, Some(("INVITE".to_owned(), name(2))), "and no BYE before it");
+    });
+}
+
 struct Hears(Rc<RefCell<Vec<u8>>>);
 
 impl Reader for Hears {
@@ -492,6 +571,26 @@
     });
 }
 
+/// A bulletin that closes after each answer, without news: what it tells between two polls is heard soon, however often it
+/// had none.
+#[test]
+fn a_list_whose_bulletin_closes_after_each_answer() {
+    on_one_thread(async {
+        let (board, hand) = (Board::start().await, Hand::start("s0").await);
+        let controller = Controller::start(config(board.at())).await;
+        let mut poll = board.poll().await;
+        poll.tells(&json!({"no": 1, "items": [event(1, &[hand.host(0, "ready")])]})).await;
+        drop(poll);
+        let (began, polls) = (Instant::now(), 12);
+        for _ in 0..polls {
+            board.poll().await.tells(&json!({"no": 1, "items": []})).await;
+        }
+        // Growing waits, up to 250 ms each, would make it over two seconds.
+        assert!(began.elapsed() < Duration::from_millis(1_500), "{polls} polls in {:?}", began.elapsed());
+        assert!(controller.instance.ready());
+    });
+}
+
 /// A watch of DNS-SD records ends because the configuration is read anew, and a call server leaves before the next one has
 /// begun: it is gone from the list. So are all where the file names no records any more.
 #[rstest]
@@ -722,7 +821,17 @@
         other.core.classes = vec!["another".into()];
         other.zones = vec!["elsewhere".into(), "east".into()];
         other.core.longest = Span::from_millis(100);
-        assert_eq!(controller.instance.reload(other), ["settings.classes"]);
+        assert_eq!(controller.instance.reload(other.clone()), ["settings.zones", "settings.classes"]);
+        other.core.classes = vec!["judge-call".into()];
+        assert_eq!(controller.instance.reload(other.clone()), ["settings.zones"]);
+        // Further zones take nobody's place.
+        other.zones = vec!["east".into(), "elsewhere".into()];
+        other.core.longest = Span::from_millis(9_000);
+        assert!(controller.instance.reload(other.clone()).is_empty());
+        // Another number among the controllers, for which the others would not know it.
+        other.core.fleet =
+            Some(lockpoint::fleet::FleetConfig { me: 1, controllers: 2, ..Default::default() });
+        assert_eq!(controller.instance.reload(other), ["fleet"]);
         // A line that names its zone comes after that: it is read by the zones that the settings in force name.
         bulletin.tell(false, vec![hand.host(0, "ready")]);
         let second = Hand::start("s1").await;
