--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -111,3 +111,28 @@
     assert_eq!(program.0.wait().expect("it ends").code(), Some(0));
     let _ = std::fs::remove_file(&file);
 }
+
+/// SIGTERM in the first moments, while the program still reads its file: it is heard, and the program ends in order.
+#[test]
+fn sigterm_while_the_file_is_still_read_ends_the_program_in_order() {
+    let file = std::env::temp_dir().join(format!("lockpoint-early-{}.fifo", std::process::id()));
+    let _ = std::fs::remove_file(&file);
+    assert!(Command::new("mkfifo").arg(&file).status().expect("it runs").success());
+    let bulletin = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lockpoint"));
+    command.env("ROUTER_CONFIG", &file).env_remove("ROUTER_LISTEN").env_remove("ROUTER_NAME");
+    command.env_remove("ROUTER_FD").env_remove("ROUTER_CONSOLE");
+    let mut program = Program(command.stderr(Stdio::piped()).spawn().expect("it starts"));
+    // It has the file open, and waits for what is in it: nobody has written anything.
+    let mut writer = std::fs::OpenOptions::new().write(true).open(&file).expect("it reads");
+    program.signal("-TERM");
+    let at = bulletin.local_addr().expect("an address").to_string();
+    let text = json!({"name": "n1", "listen": "127.0.0.1:0", "bulletin": at, "settings": settings(1)});
+    std::io::Write::write_all(&mut writer, text.to_string().as_bytes()).expect("written");
+    drop(writer);
+    let mut log = String::new();
+    program.0.stderr.take().expect("its log").read_to_string(&mut log).expect("its log");
+    assert_eq!(program.0.wait().expect("it ends").code(), Some(0), "{log}");
+    assert!(log.contains("name=n1 "), "its counters: {log}");
+    let _ = std::fs::remove_file(&file);
+}
