Crossings with no test get one: a set-up that crosses our close, a call given up

Seen: three rows of docs/crossings.md named the protocol, or nothing, where the issue asks for a test: a set-up that crosses our close of an idle connection, the same at SIGTERM, and a last word on a set-up that was given up where the same call is out again on the same connection.

Checked: a_set_up_that_crosses_our_close (unspoken, idle, SIGTERM) reads to the controller's end of the connection and writes the set-up then; it is not taken, and made again by the same name it is carried out once. With last_line of instance/callers.rs passed by, all three cases fail ("already known", or taken by a process that ends). a_call_does_not_go_back_to_a_server_where_it_was_given_up fails with erred filled for time-outs in on_ended of rules.rs (tried [1, 1] for [1]). Both pass with the code as it was: no mend was needed.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -168,6 +168,68 @@
     });
 }
 
+/// Why the controller ends a caller's connection in order.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum OurClose {
+    /// Nothing was said on it in time.
+    Unspoken,
+    /// Its calls are over and nothing was said on it for a while.
+    Idle,
+    Sigterm,
+}
+
+/// The controller closes a connection, and a set-up comes on it that was on its way: it is thrown away whole, so that the
+/// caller can make it again by the same name elsewhere, as the protocol has it, and it is carried out once.
+#[rstest]
+fn a_set_up_that_crosses_our_close(
+    #[values(OurClose::Unspoken, OurClose::Idle, OurClose::Sigterm)] closes: OurClose,
+) {
+    on_one_thread(async {
+        let world = World::default();
+        let hand = Hand::start("s0").await;
+        let (controller, _b) = Controller::with_hands(&world, &[&hand], |_| {}).await;
+        let mut wire = hand.greets().await;
+        let mut crossed = TcpStream::connect(controller.at).await.expect("it listens");
+        let line = |n| {
+            let attrs = json!({"class": "judge-call", "left": "9000", "key": "7f"});
+            format!("{}\n", json!({"msg": "open", "sid": name(n), "attrs": attrs, "text": "x"}))
+        };
+        if closes == OurClose::Idle {
+            crossed.write_all(line(1).as_bytes()).await.expect("written");
+            wire.hears("INVITE").await;
+            wire.answers(&name(1), "y").await;
+            wire.hears("ACK").await;
+            let close = json!({"msg": "close", "sid": name(1), "attrs": {}, "code": 16});
+            crossed.write_all(format!("{close}\n").as_bytes()).await.expect("written");
+            wire.hears("BYE").await;
+        }
+        controller.turns("it is there", |i| i.counters().clients == 1).await;
+        if closes == OurClose::Sigterm {
+            controller.ask_to_stop();
+        }
+        // Read to the end: the controller has closed its half. What is written now crosses that.
+        in_time("the end", crossed.read_to_string(&mut String::new())).await.expect("read");
+        crossed.write_all(line(2).as_bytes()).await.expect("written");
+        let before = controller.instance.counters();
+        let mut taken = 0;
+        if closes != OurClose::Sigterm {
+            // Made again, by the same name: served, so the first was not taken for the call.
+            let again = Caller::connect(&world, "c", controller.at).await;
+            again.open(&name(2), 9_000, 0, "x").await;
+            assert_eq!(wire.hears("INVITE").await, name(2));
+            wire.answers(&name(2), "y").await;
+            assert_eq!(world.answer(&name(2)).await.what, What::Ready("y".into()));
+            taken = 1;
+        }
+        drop(crossed);
+        let after = controller.stop().await;
+        let counts =
+            |c: &lockpoint::counters::Counters| [c.taken, c.attempts, c.duplicates, c.malformed_lines];
+        let [took, sent, named_again, malformed] = counts(&before);
+        assert_eq!(counts(&after), [took + taken, sent + taken, named_again, malformed], "{closes:?}");
+    });
+}
+
 /// SIGTERM ends connections that are owed nothing, and on one of them half a set-up has come: its rest is waited for, and it
 /// is answered there.
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -970,6 +970,33 @@
     assert_eq!(sent_to(&bench.ends(call, 0, 1, Outcome::Error, Cause::None)), None);
 }
 
+/// A call does not go back to a server on which it was given up: on one connection the last word on the first set-up could
+/// not be told from that on the second, since answers are matched by call alone.
+#[test]
+fn a_call_does_not_go_back_to_a_server_where_it_was_given_up() {
+    for outcome in [Outcome::TimedOut, Outcome::Cancelled] {
+        for servers in [1, 2] {
+            let mut bench = Bench::new(settings(), servers);
+            // All are well: nothing but the giving up speaks against them.
+            for _ in 0..20 {
+                (1..=servers).for_each(|server| bench.easy_call(server, 20));
+            }
+            let (call, mut actions) = bench.call(1);
+            let mut tried = Vec::new();
+            while let Some(to) = sent_to(&actions) {
+                tried.push(to);
+                let waits = timers(&bench.ends(call, tried.len() as u16 - 1, to, outcome, Cause::None));
+                let (rest, token) = *waits.last().expect("it rests");
+                bench.now = bench.now.plus(rest);
+                actions = bench.event(Event::Timer(token));
+            }
+            assert!(refused(&actions), "{outcome:?}, {servers} servers: {actions:?}");
+            tried.sort_unstable();
+            assert_eq!(tried, (1..=servers).collect::<Vec<_>>(), "{outcome:?}");
+        }
+    }
+}
+
 /// Where aims are short, what is waited for before a call is withdrawn must be short too. Guards against lost set-ups
 /// that are seen when the aim can no longer be met.
 #[test]
