A cut is laid on those beyond their share by the calls of the last while, not of 10 s

At fault: worth_now made calls beyond a share a rank of their own, and cut_of counts ranks over 10 s; in a burst nearly all are beyond within one second, so that all of these went and a good part of the rest too: more than must.

Changed: cut_of goes by worth alone again; Shares::cut lays what it says on those beyond first, by the part of the calls of the last while that were beyond, so that as many go as must (unit test: the sum is the cut). patience() leaves room for a healthy wait, so that the calls of a hung server are withdrawn at their first review.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -207,8 +207,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Call {
     new: NewCall,
-    /// What it is worth against the others.
+    /// What it is worth against the others, and whether it is within its tenant's share.
     rank: f64,
+    within: bool,
     came: Time,
     stage: Stage,
     attempts: u32,
@@ -363,12 +364,13 @@
             return;
         }
         let within = self.shares.takes(new.tenant);
-        let (now, rank) = (self.now, self.worth_now(&new, within));
+        let (now, rank) = (self.now, self.worth_now(&new));
         self.demand.add(now, rank);
         let draw = self.rng.uniform();
         let call = Call {
             new,
             rank,
+            within,
             came: self.now,
             stage: Stage::Releasing,
             attempts: 0,
@@ -484,7 +486,8 @@
     /// Whether the throttle keeps the call away from this server.
     fn draw_refuses(&mut self, id: ServerId, call: &Call) -> bool {
         let cut = self.cut(id);
-        call.draw < self.cut_of(cut, call.rank)
+        let cut = self.cut_of(cut, call.rank);
+        call.draw < self.shares.cut(cut, call.within)
     }
 
     /// When this gateway may next test a silent server; drawn, so that the gateways do not test together.
@@ -536,16 +539,14 @@
         ((cut * all - below) / same).clamp(0.0, 1.0)
     }
 
-    /// The worth that a call can still earn. One who dials again has mostly used the aim up by then. Of calls
-    /// of one worth those beyond their tenant's share come last, not of others: which the operators count as
-    /// beyond it nobody here can tell, and to rank all by what such a call is worth lost more than it saved.
-    fn worth_now(&self, call: &NewCall, within: bool) -> f64 {
+    /// The worth that a call can still earn. One who dials again has mostly used the aim up by then.
+    fn worth_now(&self, call: &NewCall) -> f64 {
         let Some(class) = self.settings.classes.get(call.class) else { return 0.0 };
         let worth = if call.redialled { class.worth * class.late_worth } else { class.worth };
-        match worth.is_finite() {
-            true if within => worth,
-            true => worth.next_down(),
-            false => 0.0,
+        if worth.is_finite() {
+            worth
+        } else {
+            0.0
         }
     }
 
@@ -720,7 +721,7 @@
             return least;
         }
         let reviewed = self.shortest_aim.less(self.settings.release).less(self.reserve());
-        least.max(reviewed.less(self.review_every())) // known by then, the wait last seen included
+        least.max(reviewed.less(self.shortest_aim.share(PRESSED_FROM))) // known then, behind a healthy wait
     }
 
     /// Whether the servers that answer make up more than this share of the size of all.
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -16,9 +16,18 @@
     holds: f64,
 }
 
+/// The part of the calls that is beyond is reckoned over no fewer than this.
+const CALLS: f64 = 8.0;
+
 /// The accounts of all tenants, by their places in the settings; none where there are no shares.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Shares(Vec<Account>);
+pub struct Shares {
+    accounts: Vec<Account>,
+    /// The part of the calls of the last while that were beyond.
+    beyond: f64,
+    /// Calls that are taken in a while.
+    a_while: f64,
+}
 
 impl Shares {
     /// Accounts for these shares, in calls a second of the whole service; what is no share, or below zero, counts as
@@ -29,13 +38,14 @@
         if all <= 0.0 {
             return Shares::default();
         }
-        Shares(shares.iter().map(|one| Account { part: share(one) / all, holds: 1.0 }).collect())
+        let accounts = shares.iter().map(|one| Account { part: share(one) / all, holds: 1.0 }).collect();
+        Shares { accounts, ..Shares::default() }
     }
 
     /// Goes on with these shares; who keeps its part of the whole keeps what it holds.
     pub fn follow(&mut self, shares: &[f64]) {
-        let mut next = Shares::of(shares);
-        for (account, before) in next.0.iter_mut().zip(&self.0) {
+        let mut next = Shares { beyond: self.beyond, a_while: self.a_while, ..Shares::of(shares) };
+        for (account, before) in next.accounts.iter_mut().zip(&self.accounts) {
             if account.part == before.part {
                 account.holds = before.holds;
             }
@@ -45,26 +55,35 @@
 
     /// A call of a tenant came; whether it is within its share. One whose tenant has none is not, where there are any.
     pub fn takes(&mut self, tenant: Option<usize>) -> bool {
-        if self.0.is_empty() {
+        if self.accounts.is_empty() {
             return true;
         }
-        let Some(account) = tenant.and_then(|tenant| self.0.get_mut(tenant)) else { return false };
-        if account.holds < 1.0 {
-            return false;
+        let account = tenant.and_then(|tenant| self.accounts.get_mut(tenant)).filter(|a| a.holds >= 1.0);
+        let within = account.map(|account| account.holds -= 1.0).is_some();
+        self.beyond += (f64::from(u8::from(!within)) - self.beyond) / self.a_while.max(CALLS);
+        within
+    }
+
+    /// What to cut of the calls within their shares, or of those beyond, when `cut` of all must go: those beyond first. It
+    /// goes by the calls of the last while, the same that the accounts go by. Guards against a burst in which all are
+    /// beyond before that shows among the calls of a longer time, and twice as many are cut as must be.
+    pub fn cut(&self, cut: f64, within: bool) -> f64 {
+        match within {
+            _ if self.beyond <= 0.0 || self.beyond >= 1.0 => cut,
+            true => ((cut - self.beyond) / (1.0 - self.beyond)).max(0.0),
+            false => (cut / self.beyond).min(1.0),
         }
-        account.holds -= 1.0;
-        true
     }
 
-    /// A server took a call: it is shared out. What came to a tenant of `most` calls, or one, is kept for it; the rest
-    /// lapses. Guards against a tenant that was quiet for long and then may crowd out the others.
+    /// A server took a call: it is shared out. `most`: calls that are taken in a while; what comes to a tenant of so many,
+    /// or one call, is kept for it, the rest lapses. Guards against a tenant that was quiet for long and then may crowd out the others.
     pub fn taken(&mut self, most: f64) {
-        for account in &mut self.0 {
+        self.a_while = most;
+        for account in &mut self.accounts {
             account.holds = (account.holds + account.part).min((most * account.part).max(1.0));
         }
     }
 }
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -93,6 +112,27 @@
         assert_eq!((0..100).filter(|_| shares.takes(Some(1))).count(), 5);
     }
 
+    /// Guards against a cut of more, or less, than must go.
+    #[test]
+    fn those_beyond_go_first_and_as_many_go_as_must() {
+        let mut shares = Shares::of(&[30.0, 10.0]);
+        assert_eq!([shares.cut(0.3, true), shares.cut(0.3, false)], [0.3, 0.3], "nobody is beyond");
+        for n in 0..4_000 {
+            shares.takes(Some(n % 2));
+            if n % 2 == 1 {
+                shares.taken(20.0);
+            }
+        }
+        let beyond = shares.beyond;
+        assert!((0.4..0.6).contains(&beyond), "{beyond}");
+        for cut in [0.0, 0.1, 0.3, 0.5, 0.7, 0.9, 1.0] {
+            let (of_within, of_beyond) = (shares.cut(cut, true), shares.cut(cut, false));
+            let all = of_within * (1.0 - beyond) + of_beyond * beyond;
+            assert!((all - cut).abs() < 1e-9, "{cut}: {all}");
+            assert!(of_within <= cut && cut <= of_beyond && (of_within == 0.0 || of_beyond == 1.0), "{cut}");
+        }
+    }
+
     #[test]
     fn odd_shares_and_tenants_get_a_sound_answer() {
         for none in [&[][..], &[0.0], &[-1.0, f64::NAN]] {
