--- a/src/mechanics.rs
+++ b/src/mechanics.rs
@@ -87,9 +87,14 @@
         }
     }
 
+    /// Whether calls were taken for long enough to tell.
+    pub fn is_known(&self) -> bool {
+        self.most > 0.0
+    }
+
     /// The rate; from the calls that came within the span while none was taken.
     pub fn rate(&self, now: Time, came: f64, size: f64) -> f64 {
-        if self.most > 0.0 {
+        if self.is_known() {
             return self.most;
         }
         came / self.passed(now).max(RATE_FROM).secs() / size.max(1.0)
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -660,7 +660,8 @@
 
     /// What is usual here; from what comes in while nothing has stood yet, as after a restart.
     fn usual_rate(&mut self) -> f64 {
-        let (came, size) = (self.demand.around(self.now, 0.0).2, self.ready_size());
+        let came = self.demand.around(self.now, 0.0).2;
+        let size = if self.usual.is_known() { 0.0 } else { self.ready_size() };
         self.usual.rate(self.now, came, size).max(RATE_LEAST)
     }
 
@@ -714,8 +715,7 @@
     /// of their processors a queue looks the same, so it is the latest from which a withdrawn call can still
     /// stand in its aim elsewhere.
     fn patience(&self) -> Span {
-        use LoadField::{Busy, MaxRate, Pending, Reduce, Share, Wait};
-        let tells = |f: &LoadField| matches!(f, Busy | MaxRate | Pending | Reduce | Share | Wait);
+        let tells = |f: &LoadField| !matches!(f, LoadField::Idle | LoadField::Circuits | LoadField::Unknown);
         let least = self.shortest_aim.share(SILENT_FROM);
         if self.settings.load_fields.iter().any(tells) {
             return least;
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -76,7 +76,8 @@
     }
 
     /// A server took a call: it is shared out. `most`: calls that are taken in a while; what comes to a tenant of so many,
-    /// or one call, is kept for it, the rest lapses. Guards against a tenant that was quiet for long and then may crowd out the others.
+    /// or one call, is kept for it, the rest lapses. Guards against a tenant that was quiet for long and then crowds out the
+    /// others.
     pub fn taken(&mut self, most: f64) {
         self.a_while = most;
         for account in &mut self.accounts {
@@ -84,6 +85,7 @@
         }
     }
 }
+
 #[cfg(test)]
 mod tests {
     use super::*;
