--- a/crates/lockpoint-lab/src/fleet/cold.rs
+++ b/crates/lockpoint-lab/src/fleet/cold.rs
@@ -1,11 +1,11 @@
-//! Measures how far all controllers together go into a cold call server's budget, with rights lent among them and
-//! without, while links, controllers and lists fail: the very cores, in driven time (`super::driven`).
+//! Measures the share of a cold call server's budget that all controllers together use, with and without credit transfer
+//! between them, while links, controllers and directories fail: real cores in virtual time (`super::driven`).
 
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
-use lockpoint::fleet::FleetConfig;
+use lockpoint::fleet::{credit_transfer, token_bucket, FleetConfig};
 use lockpoint::interface::Span;
 use lockpoint::rules::{COLD_LAPSE, COLD_PUSH};
 use plotters::prelude::*;
@@ -54,18 +54,18 @@
     Kind::ThirdRestarted,
 ];
 
-/// The rate at which rights come to all controllers together follows from what they usually send; so much of the
-/// budget may be spent at most within its window, by `lockpoint::fleet::purse::most_within`.
+/// Upper bound on the share of the budget used within its window. The refill rate of all controllers together follows
+/// from what they usually send; see `lockpoint::fleet::token_bucket::max_consumed_within`.
 pub fn bound(shares: bool) -> f64 {
     let model = ProcessorConfig::default();
     let window = Span::from_millis(model.tip_ms);
     let lapse = window.max(Span::from_millis(2_000)).share(COLD_LAPSE);
-    let loan = if shares { lockpoint::fleet::loans::LOAN } else { Span::default() };
-    let most = lockpoint::fleet::purse::most_within(window, LOAD * CAPACITY * COLD_PUSH, lapse, loan);
+    let transfer_ttl = if shares { credit_transfer::REQUEST_TTL } else { Span::default() };
+    let most = token_bucket::max_consumed_within(window, LOAD * CAPACITY * COLD_PUSH, lapse, transfer_ttl);
     most / (model.overload_factor * CAPACITY * window.secs())
 }
 
-/// One run: the tally of the time in which the call server is away or cold, and the parts of rights borrowed.
+/// One run: the tally of the time in which the call server is away or cold, and the credit borrowed, in 1/256 of a permit.
 fn play(kind: Kind, controllers: u16, shares: bool, seed: u64) -> (Tally, u64) {
     let rng = &mut Pcg64Mcg::seed_from_u64(seed);
     let mut fleet = Driven::new(DrivenConfig {
@@ -108,7 +108,7 @@
         _ => {}
     }
     fleet.pass(COLD);
-    let (_, borrowed, _) = fleet.loans();
+    let borrowed = fleet.credit_counts().borrowed;
     let mut tally = fleet.tally;
     tally.asked -= before.asked;
     tally.stood -= before.stood;
@@ -164,7 +164,7 @@
 
 /// Runs all; how many passed and failed. A table and a chart are left in `out`.
 pub fn run(seed: u64, faults: u64, sizes: &[u16], out: &Path) -> Result<(usize, usize), LabError> {
-    println!("a cold call server under all at once, rights lent among the controllers or not:");
+    println!("load on a cold call server, with and without credit transfer between the controllers:");
     println!(
         "{:>11} {:>17} {:>6} {:>6} {:>7} {:>7} {:>7} {:>6} {:>4} {:>8} {:>7} {:>6} {:>9} {:>6}",
         "controllers",
@@ -275,7 +275,7 @@
         chart
             .draw_series(LineSeries::new(points, color.stroke_width(2)))
             .map_err(|e| say(&e))?
-            .label(if shares { "rights lent" } else { "each its own" })
+            .label(if shares { "credit transfer" } else { "each its own" })
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
         let bound = bound(shares);
         chart
--- a/crates/lockpoint-lab/src/fleet/driven.rs
+++ b/crates/lockpoint-lab/src/fleet/driven.rs
@@ -11,6 +11,7 @@
     AttemptError, Broken, Client, Core, CoreConfig, Effect, FrontKind, HostLine, Input, Progress, Protocol,
     Refusal, ServerSays, SetUp, Sid, Source,
 };
+use lockpoint::fleet::credit_transfer::CreditCounts;
 use lockpoint::fleet::FleetConfig;
 use lockpoint::interface::{
     Cause, Cell, ClassSettings, LoadField, ServerId, ServerState, Settings, Span, Time,
@@ -216,15 +217,17 @@
         self.config.processor.capacity * f64::from(self.config.servers) * self.config.load
     }
 
-    /// A controller that knows nothing, in its so manieth life.
-    fn begin(&self, me: u16, life: u32) -> Controller {
+    /// A controller that has no observations yet.
+    fn begin(&self, me: u16, incarnation: u32) -> Controller {
         let config = &self.config;
-        let seed =
-            config.seed.wrapping_mul(0x9e37_79b9).wrapping_add(u64::from(me) + (u64::from(life) << 32));
+        let seed = config
+            .seed
+            .wrapping_mul(0x9e37_79b9)
+            .wrapping_add(u64::from(me) + (u64::from(incarnation) << 32));
         let fleet = config.shares.clone().map(|shares| FleetConfig {
             me,
             controllers: config.controllers,
-            life: (self.now.0 / 1_000) as u32,
+            incarnation: (self.now.0 / 1_000) as u32,
             seed,
             ..shares
         });
@@ -249,9 +252,9 @@
 
     /// A controller's process is killed, and starts again knowing nothing but the list. Its calls are lost.
     pub fn restart(&mut self, me: u16) {
-        let life = (self.now.0 / 1_000) as u32;
+        let incarnation = (self.now.0 / 1_000) as u32;
         self.asked.retain(|_, (at, _)| *at != me);
-        self.controllers[usize::from(me)] = self.begin(me, life);
+        self.controllers[usize::from(me)] = self.begin(me, incarnation);
         self.starts(me);
     }
 
@@ -291,17 +294,22 @@
         self.tell(server);
     }
 
-    /// The calls a second that a controller's rights to a call server come at are not seen; what it holds is.
-    pub fn rights(&self, me: u16, server: u16) -> Option<f64> {
+    /// Permits that a controller holds for a call server, in calls; `None`: it needs none.
+    pub fn permits(&self, me: u16, server: u16) -> Option<f64> {
         let host = &self.machines[usize::from(server)].line.host;
         let view = self.controllers[usize::from(me)].core.fleet_view(self.now);
-        view.into_iter().find(|v| v.host == *host).and_then(|v| v.rights)
+        view.into_iter().find(|v| v.host == *host).and_then(|v| v.permits)
     }
 
-    /// Parts of rights that all controllers have lent, borrowed in time, and got too late.
-    pub fn loans(&self) -> (u64, u64, u64) {
-        let counts = self.controllers.iter().filter_map(|c| c.core.loan_counts());
-        counts.fold((0, 0, 0), |sum, c| (sum.0 + c.lent, sum.1 + c.borrowed, sum.2 + c.too_late))
+    /// Credit transferred by all controllers together.
+    pub fn credit_counts(&self) -> CreditCounts {
+        let mut total = CreditCounts::default();
+        for counts in self.controllers.iter().filter_map(|c| c.core.credit_counts()) {
+            total.lent += counts.lent;
+            total.borrowed += counts.borrowed;
+            total.too_late += counts.too_late;
+        }
+        total
     }
 
     /// Calls that a controller owes an answer.
--- a/crates/lockpoint-lab/src/fleet/limits.rs
+++ b/crates/lockpoint-lab/src/fleet/limits.rs
@@ -1,5 +1,5 @@
-//! Measures what `docs/fleet-limits.md` states: how stale a verdict is at the others under seeded faults, how soon all
-//! agree after a partition, and what it costs in bytes. In driven time, with the very code of the controllers.
+//! Measures the bounds stated in `docs/fleet-limits.md`: propagation time of an observation under random faults, time to
+//! convergence after a partition, and bytes sent. In virtual time, with the code of the controllers.
 
 use std::path::{Path, PathBuf};
 
@@ -14,13 +14,13 @@
 use super::sim::{staleness, Links, Sim};
 use crate::under_test::{beside, LabError};
 
-/// Call servers that are seen all the time, beside the one that a fault is about.
-const SEEN: u32 = 10;
-const ABOUT: Key = Key(1_000);
-/// How long a fleet is at work before the fault, and between two looks of a controller at a call server.
+/// Call servers observed all the time, besides the one that a fault concerns.
+const BACKGROUND_SERVERS: u32 = 10;
+const SUBJECT: Key = Key(1_000);
+/// How long a fleet is at work before the fault, and the time between two observations of a controller.
 const BEFORE: Span = Span::from_millis(3_000);
-const LOOK_EVERY: Span = Span::from_millis(200);
-/// Longer than any bound: who has not heard by then is counted as never.
+const OBSERVATION_INTERVAL: Span = Span::from_millis(200);
+/// Longer than any bound: a controller without the observation by then is counted as never.
 const LIMIT: Span = Span::from_millis(5_000);
 
 /// What to measure.
@@ -35,7 +35,7 @@
     /// Sizes of the fleet.
     #[arg(long, value_delimiter = ',', default_values_t = [5, 20, 100])]
     pub controllers: Vec<u16>,
-    /// Measure processes in place of driven time: fleets of these sizes, 20 verdicts at each loss.
+    /// Measure real processes instead of virtual time: fleets of these sizes, 20 refusals at each loss rate.
     #[arg(long, value_delimiter = ',')]
     pub processes: Vec<u16>,
     /// Where the table and the chart go.
@@ -99,15 +99,15 @@
     bytes: Vec<u64>,
 }
 
-/// Lets a fleet at work pass some time: each controller sees one of the call servers now and then.
+/// Advances the time of a fleet at work: each controller observes a random call server at regular intervals.
 fn works(sim: &mut Sim, controllers: u16, rng: &mut Pcg64Mcg, how_long: Span) {
     let end = sim.now.plus(how_long);
     while sim.now < end {
         for who in 0..controllers {
             let wait = Span::from_millis(u64::from(rng.next_u32() % 40));
-            sim.saw(who, Key(rng.next_u32() % SEEN), wait, false);
+            sim.observe(who, Key(rng.next_u32() % BACKGROUND_SERVERS), wait, false);
         }
-        sim.pass(LOOK_EVERY);
+        sim.pass(OBSERVATION_INTERVAL);
     }
 }
 
@@ -140,15 +140,15 @@
     let parted = matches!(kind, Kind::HalvesThenHeal | Kind::OneAgainstAll);
     let mut none_across = true;
     if parted {
-        sim.saw(who, ABOUT, Span::default(), true);
+        sim.observe(who, SUBJECT, Span::default(), true);
         sim.pass(Span::from_millis(1_000));
         let group = |no: u16| sim.links.groups[usize::from(no)];
-        none_across = (0..controllers).all(|no| group(no) == group(who) || sim.view(no, ABOUT).is_none());
+        none_across = (0..controllers).all(|no| group(no) == group(who) || sim.view(no, SUBJECT).is_none());
         sim.links.groups.clear();
     }
     let healed = sim.now;
     let took: Vec<Option<Span>> = if parted {
-        let holds = |sim: &Sim, no: u16| sim.view(no, ABOUT).is_some_and(|s| s.silent);
+        let holds = |sim: &Sim, no: u16| sim.view(no, SUBJECT).is_some_and(|s| s.silent);
         let mut took = Vec::new();
         for no in 0..controllers {
             let there = sim.until(healed.plus(LIMIT), |sim| holds(sim, no));
@@ -157,7 +157,7 @@
         took
     } else {
         let others = usize::from(controllers) - 1 - usize::from(exempt.is_some());
-        let mut took = staleness(&mut sim, who, ABOUT, true, LIMIT);
+        let mut took = staleness(&mut sim, who, SUBJECT, true, LIMIT);
         took.truncate(others);
         took
     };
@@ -187,7 +187,7 @@
     }
 }
 
-/// Runs all faults; prints a table, leaves it and a chart, and says how many passed. `true`: none failed.
+/// Runs all faults; prints and writes a table, writes a chart, and prints how many passed. `true`: none failed.
 pub async fn run(options: &Options) -> Result<bool, LabError> {
     if !options.processes.is_empty() {
         let program = beside("lockpoint");
@@ -244,7 +244,7 @@
     writer.flush().map_err(|e| LabError::file(file, e))
 }
 
-/// For each fault the 99th percentile against the size of the fleet.
+/// Draws the 99th percentile for each fault against the size of the fleet.
 fn chart(rows: &[Row], sizes: &[u16], file: &Path) -> Result<(), String> {
     let say = |error: &dyn std::fmt::Display| error.to_string();
     let root = SVGBackend::new(file, (900, 480)).into_drawing_area();
--- a/crates/lockpoint-lab/src/fleet/mesh.rs
+++ b/crates/lockpoint-lab/src/fleet/mesh.rs
@@ -1,5 +1,5 @@
-//! The links between controllers on real sockets: every datagram passes a relay, which loses, delays, repeats and cuts
-//! by a seed. Each controller has an address of its own for each other one, so that none can go round the relay.
+//! Links between controllers on real sockets. Every datagram passes a relay that loses, delays, duplicates and blocks at
+//! random. Each controller has a separate address for each peer, so that no datagram bypasses the relay.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -21,29 +21,29 @@
 /// Longer than any datagram between controllers.
 const LONGEST: usize = 2_048;
 
-/// Who has been told of a sight so far, and when.
+/// Tracks which controllers have received an observation, and when.
 pub struct Watch {
-    /// Of which call server.
+    /// The call server observed.
     pub key: Key,
-    /// Whose sight.
-    pub by: u16,
-    /// By controller, when the relay first handed it a datagram that tells of it.
-    pub heard: BTreeMap<u16, Instant>,
+    /// Index of the controller that made the observation.
+    pub origin: u16,
+    /// By controller, when the relay first delivered a datagram with the observation.
+    pub received_at: BTreeMap<u16, Instant>,
 }
 
 /// The links between controllers.
 pub struct Mesh {
-    /// What the links do from now on.
+    /// Faults and latency from now on.
     pub links: RefCell<Links>,
-    /// A sight that is watched on its way.
+    /// The observation that is tracked.
     pub watch: RefCell<Option<Watch>>,
-    /// Datagrams that were let through, and those that were lost.
+    /// Datagrams delivered.
     pub passed: Cell<u64>,
-    /// Datagrams that the links lost.
+    /// Datagrams lost.
     pub lost: Cell<u64>,
-    /// Where each controller listens.
+    /// The address that each controller listens on.
     listens: Vec<SocketAddr>,
-    /// By controller and the other one: where the first sends to reach the other, and is reached from by it.
+    /// By controller and peer: the relay's socket that the controller sends to, and receives from, for that peer.
     seats: Vec<Vec<Option<Rc<UdpSocket>>>>,
     rng: RefCell<Pcg64Mcg>,
 }
@@ -59,7 +59,7 @@
 }
 
 impl Mesh {
-    /// Links between so many controllers, on ports that the system picks.
+    /// Links between `controllers` controllers, on ports picked by the system.
     pub async fn new(controllers: u16, seed: u64, links: Links) -> Result<Rc<Mesh>, LabError> {
         let socket = |at: Ipv4Addr| async move {
             let bound = UdpSocket::bind(SocketAddr::from((at, 0))).await;
@@ -93,12 +93,12 @@
         Ok(mesh)
     }
 
-    /// Where a controller listens.
+    /// The address that a controller listens on.
     pub fn listens_at(&self, me: u16) -> SocketAddr {
         self.listens[usize::from(me)]
     }
 
-    /// The controllers as this one reaches them, itself included.
+    /// The addresses at which a controller reaches all controllers, itself included.
     pub fn peers_of(&self, me: u16) -> Vec<SocketAddr> {
         let row = self.seats[usize::from(me)].iter();
         let own = self.listens_at(me);
@@ -109,13 +109,13 @@
         self.seats[usize::from(me)][usize::from(other)].clone()
     }
 
-    /// Notes whether a datagram tells of the sight that is watched.
-    fn look(&self, to: u16, bytes: &[u8]) {
+    /// Notes whether a delivered datagram holds the tracked observation.
+    fn track(&self, to: u16, bytes: &[u8]) {
         let mut watch = self.watch.borrow_mut();
-        let Some(watch) = watch.as_mut().filter(|watch| watch.by != to) else { return };
-        if let Ok((_, Body::Sights(items))) = datagram::read(bytes) {
-            if items.iter().any(|item| item.key == watch.key && item.by == watch.by) {
-                watch.heard.entry(to).or_insert_with(Instant::now);
+        let Some(watch) = watch.as_mut().filter(|watch| watch.origin != to) else { return };
+        if let Ok((_, Body::Observations(items))) = datagram::decode(bytes) {
+            if items.iter().any(|item| item.key == watch.key && item.origin == watch.origin) {
+                watch.received_at.entry(to).or_insert_with(Instant::now);
             }
         }
     }
@@ -132,12 +132,12 @@
             let fate = self.links.borrow().fate(from, to, &mut self.rng.borrow_mut());
             let count = if fate.is_empty() { &self.lost } else { &self.passed };
             count.set(count.get() + 1);
-            for way in fate {
+            for latency in fate {
                 let (outer, bytes, at) = (outer.clone(), bytes[..n].to_vec(), self.listens_at(to));
                 let mesh = self.clone();
                 spawn_local(async move {
-                    tokio::time::sleep(Duration::from_micros(way.0)).await;
-                    mesh.look(to, &bytes);
+                    tokio::time::sleep(Duration::from_micros(latency.0)).await;
+                    mesh.track(to, &bytes);
                     let _ = outer.send_to(&bytes, at).await;
                 });
             }
--- a/crates/lockpoint-lab/src/fleet/processes.rs
+++ b/crates/lockpoint-lab/src/fleet/processes.rs
@@ -1,5 +1,5 @@
-//! A fleet of real controllers, each a process of its own, around the same call servers, with [`Mesh`] between them.
-//! Signals go only to processes that were started here, by their ids.
+//! A fleet of real controller processes that share the call servers, with a [`Mesh`] between them. Signals are sent only to
+//! processes that were started here, by their ids.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,9 +15,9 @@
 use super::sim::Links;
 use crate::under_test::{address, Agent, Folder, LabError};
 
-/// How long anything that is waited for may take.
-const PATIENCE: Duration = Duration::from_secs(30);
-const ASK_EVERY: Duration = Duration::from_millis(10);
+/// Longest wait for a condition.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The settings of a site with one class of calls, in the platform's words; how many controllers there are is filled in.
 pub fn settings() -> Value {
@@ -32,17 +32,17 @@
         "zones": ["east"]})
 }
 
-/// What one controller says of a call server.
+/// The newest observation of a call server as a controller reports it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Told {
+pub struct ReportedObservation {
     /// The wait, in milliseconds.
     pub wait_ms: u64,
-    /// Whether it takes no connection.
+    /// Whether it does not answer.
     pub silent: bool,
-    /// How old the sight is, in milliseconds.
+    /// Age of the observation, in milliseconds.
     pub age_ms: u64,
-    /// Number of the controller that saw it.
-    pub by: u16,
+    /// Index of the controller that made it.
+    pub origin: u16,
 }
 
 /// A controller's process.
@@ -64,7 +64,7 @@
     /// Those that follow a bulletin of their own, from their next start on.
     pub bulletins: BTreeMap<u16, SocketAddr>,
     settings: Value,
-    /// They tell each other what they see, with these keys in `[instance.fleet]`.
+    /// The controllers form a fleet, with these keys in `[instance.fleet]`.
     pub shares: Option<Value>,
     /// They keep records, with these keys in `[instance.store]` beside the file.
     pub store: Option<Value>,
@@ -72,8 +72,8 @@
 }
 
 impl Processes {
-    /// Starts so many controllers that follow a bulletin and serve once it lists call servers; `shares`: they tell each
-    /// other what they see, with these keys in `[instance.fleet]`.
+    /// Starts controllers that follow a bulletin and serve once it lists call servers. With `shares` they form a fleet, with
+    /// these keys in `[instance.fleet]`.
     pub async fn start(
         program: &Path,
         controllers: u16,
@@ -207,28 +207,28 @@
         lines.filter_map(figure).collect()
     }
 
-    /// What a controller holds of a call server.
-    pub async fn view(&self, me: u16, host: &str) -> Option<Told> {
+    /// The newest observation of a call server that a controller reports.
+    pub async fn view(&self, me: u16, host: &str) -> Option<ReportedObservation> {
         let figures = self.figures(me).await;
         let figure = |name: &str| figures.get(&format!("fleet.server.{host}.{name}")).copied();
-        Some(Told {
+        Some(ReportedObservation {
             wait_ms: figure("wait_ms")?,
             silent: figure("silent")? > 0,
             age_ms: figure("age_ms")?,
-            by: u16::try_from(figure("by")?).ok()?,
+            origin: u16::try_from(figure("origin")?).ok()?,
         })
     }
 
     /// Waits until a controller's figures are as wanted; panics, with what they were last, where they never are.
     pub async fn until_figures(&self, what: &str, me: u16, wanted: impl Fn(&BTreeMap<String, u64>) -> bool) {
-        let end = tokio::time::Instant::now() + PATIENCE;
+        let end = tokio::time::Instant::now() + WAIT_TIMEOUT;
         loop {
             let figures = self.figures(me).await;
             if wanted(&figures) {
                 return;
             }
             assert!(tokio::time::Instant::now() < end, "never: {what}; c{me} says {figures:?}");
-            tokio::time::sleep(ASK_EVERY).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
@@ -238,16 +238,16 @@
         what: &str,
         me: u16,
         host: &str,
-        wanted: impl Fn(Option<Told>) -> bool,
-    ) -> Option<Told> {
-        let end = tokio::time::Instant::now() + PATIENCE;
+        wanted: impl Fn(Option<ReportedObservation>) -> bool,
+    ) -> Option<ReportedObservation> {
+        let end = tokio::time::Instant::now() + WAIT_TIMEOUT;
         loop {
             let view = self.view(me, host).await;
             if wanted(view) {
                 return view;
             }
             assert!(tokio::time::Instant::now() < end, "never: {what}; c{me} holds {view:?} of {host}");
-            tokio::time::sleep(ASK_EVERY).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 }
--- a/crates/lockpoint-lab/src/fleet/real.rs
+++ b/crates/lockpoint-lab/src/fleet/real.rs
@@ -1,5 +1,5 @@
-//! How stale a verdict is at the others where each controller is a process of its own: from the moment at which a call
-//! server refuses until the relay has handed each other process a datagram that says so.
+//! Propagation time of an observation between real processes: from the moment at which a call server refuses a call until
+//! the relay has delivered a datagram with that observation to each peer.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -17,28 +17,28 @@
 use crate::under_test::LabError;
 use crate::world::{What, World};
 
-/// Who has not heard by then is counted as never.
+/// A peer that has not received the observation by then is counted as never.
 const LIMIT: Duration = Duration::from_secs(5);
 
-/// Measures fleets of these sizes, each with so many verdicts at each loss; how many passed and failed. A verdict fails
-/// where somebody has not heard of it within 5 s.
+/// Measures fleets of these sizes, with `refusals` refusals at each loss rate; returns the numbers of passed and failed
+/// ones. A measurement fails if a peer has not received the observation within 5 s.
 pub async fn run(
     program: &Path,
     sizes: &[u16],
-    verdicts: u16,
+    refusals: u16,
     seed: u64,
 ) -> Result<(usize, usize), LabError> {
     println!(
         "{:>9} {:>6} {:>8} {:>8} {:>8} {:>8} {:>7}",
-        "processes", "lost", "verdicts", "p50 ms", "p99 ms", "max ms", "never"
+        "processes", "lost", "refusals", "p50 ms", "p99 ms", "max ms", "never"
     );
     let (mut passed, mut failed) = (0, 0);
     for &controllers in sizes {
         let world = World::default();
         let bulletin = Bulletin::start(&world).await;
-        // One that answers, and one more for each verdict: what was never seen before is news to all.
+        // One that answers, and one more for each refusal: a call server not observed before is news to all.
         let losses = [0.0, 0.1, 0.3];
-        let servers = 1 + verdicts * losses.len() as u16;
+        let servers = 1 + refusals * losses.len() as u16;
         let mut all = Vec::new();
         for n in 0..servers {
             all.push(SipServer::start(&world, &format!("s{n}"), Does::Answer("v=0\r\n".into())).await);
@@ -51,11 +51,12 @@
         for loss in losses {
             fleet.mesh.links.borrow_mut().loss = loss;
             let (mut took, mut never) = (Vec::new(), 0);
-            for verdict in 0..verdicts {
+            for refusal in 0..refusals {
                 no += 1;
-                let me = (u64::from(verdict) * 7 + seed) as u16 % controllers;
+                let me = (u64::from(refusal) * 7 + seed) as u16 % controllers;
                 let key = Key::of(&format!("s{no}"));
-                *fleet.mesh.watch.borrow_mut() = Some(Watch { key, by: me, heard: BTreeMap::new() });
+                *fleet.mesh.watch.borrow_mut() =
+                    Some(Watch { key, origin: me, received_at: BTreeMap::new() });
                 let full = "P-Reason: queue_long\r\nP-Line-Ms: 3000\r\n";
                 *all[usize::from(no)].does.borrow_mut() = Does::Refuse(503, full.into());
                 let at = fleet.at(me).ok_or_else(|| LabError::Serves(format!("c{me} does not run")))?;
@@ -65,16 +66,16 @@
                 let name = format!("s{no}");
                 let refused =
                     world.until("it refuses", |s| s.who == name && s.what == What::Refused).await.at;
-                let heard = || fleet.mesh.watch.borrow().as_ref().map_or(0, |w| w.heard.len());
+                let received = || fleet.mesh.watch.borrow().as_ref().map_or(0, |w| w.received_at.len());
                 let end = Instant::now() + LIMIT;
-                while heard() < usize::from(controllers) - 1 && Instant::now() < end {
+                while received() < usize::from(controllers) - 1 && Instant::now() < end {
                     tokio::time::sleep(Duration::from_millis(2)).await;
                 }
-                let missing = usize::from(controllers) - 1 - heard();
+                let missing = usize::from(controllers) - 1 - received();
                 never += missing;
                 (passed, failed) = (passed + usize::from(missing == 0), failed + usize::from(missing > 0));
                 let watch = fleet.mesh.watch.borrow_mut().take();
-                let times = watch.into_iter().flat_map(|w| w.heard.into_values());
+                let times = watch.into_iter().flat_map(|w| w.received_at.into_values());
                 took.extend(times.map(|at| at.saturating_duration_since(refused).as_millis()));
             }
             took.sort_unstable();
@@ -82,7 +83,7 @@
                 took.get((took.len().saturating_sub(1) as f64 * share) as usize).copied().unwrap_or(0)
             };
             println!(
-                "{controllers:>9} {:>5.0}% {verdicts:>8} {:>8} {:>8} {:>8} {never:>7}",
+                "{controllers:>9} {:>5.0}% {refusals:>8} {:>8} {:>8} {:>8} {never:>7}",
                 loss * 100.0,
                 at(0.5),
                 at(0.99),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -97,7 +97,7 @@
 
 #[derive(Debug, Subcommand)]
 enum FleetCommands {
-    /// The call servers as all see them, as this controller does, and the rights it holds.
+    /// The state of the call servers as known to the fleet and to this controller, and the permits it holds.
     Limits(Call),
 }
 
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -1,5 +1,5 @@
-//! `lockpoint fleet limits`: what a controller and all together know of the call servers, read from its figures, so that
-//! it can be asked of an agent and of any console alike.
+//! `lockpoint fleet limits`: the state of the call servers as known to a controller and to the fleet. It is read from the
+//! controller's figures, so that agents and consoles are queried alike.
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -8,53 +8,56 @@
 
 use crate::control::Called;
 
-/// What one controller says of the fleet.
+/// Credit figures count 1/256 of a permit.
+const PARTS_PER_PERMIT: f64 = 256.0;
+
+/// One controller's figures of the fleet.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Limits {
-    /// Its name.
+    /// Name of the controller.
     pub name: String,
-    /// Whether it shares anything.
+    /// Whether it is a member of a fleet.
     pub shares: bool,
-    /// Controllers that it heard of late.
-    pub peers_heard: u64,
-    /// Controllers that it heard and does not hear any more.
+    /// Peers alive.
+    pub peers_alive: u64,
+    /// Peers that were alive and are lost.
     pub peers_lost: u64,
     /// Bytes sent since its start.
     pub bytes: u64,
-    /// Rounds that waited for bytes.
-    pub put_off: u64,
-    /// Rights lent to others, in calls.
+    /// Gossip rounds deferred because the byte budget was used up.
+    pub rounds_deferred: u64,
+    /// Permits lent to peers, in calls.
     pub lent: f64,
-    /// Rights borrowed in time, in calls.
+    /// Permits borrowed in time, in calls.
     pub borrowed: f64,
-    /// Rights that came too late to count, in calls.
+    /// Permits granted by peers but received too late to count, in calls.
     pub too_late: f64,
-    /// By call server.
+    /// The call servers, by name.
     pub servers: Vec<ServerLimits>,
 }
 
-/// What it says of a call server; what it does not know is not there.
+/// A controller's figures of one call server; `None` where it has no recent observation.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct ServerLimits {
     /// Host name.
     pub host: String,
-    /// The wait by the latest sight of all, in milliseconds.
+    /// The wait by the newest observation of any controller, in milliseconds.
     pub wait_ms: Option<u64>,
-    /// Whether by that sight it takes no connection.
+    /// Whether by that observation it does not answer.
     pub silent: bool,
-    /// How old that sight is, in milliseconds.
+    /// Age of that observation, in milliseconds.
     pub age_ms: Option<u64>,
-    /// Number of the controller that saw it.
-    pub by: Option<u64>,
-    /// The wait that this controller saw last itself, in milliseconds.
+    /// Index of the controller that made it.
+    pub origin: Option<u64>,
+    /// The wait by this controller's own last observation, in milliseconds.
     pub own_wait_ms: Option<u64>,
-    /// Whether another's list says that it takes no new calls, and ours does not yet.
+    /// Whether a peer's directory lists it as taking no new calls, and this controller's does not yet.
     pub warned: bool,
-    /// Rights held to send calls to it, in calls; not there where it needs none.
-    pub rights: Option<f64>,
+    /// Permits held to send calls to it, in calls; `None`: it needs none.
+    pub permits: Option<f64>,
 }
 
-/// Reads the figures of a controller.
+/// Reads the fleet figures out of a controller's answer.
 pub fn read(called: &Called) -> Limits {
     let figure = |line: &str| {
         let (name, rest) = line.strip_prefix("controller.fleet.")?.rsplit_once(':')?;
@@ -62,7 +65,7 @@
     };
     let figures: BTreeMap<String, u64> = called.answer.lines().filter_map(figure).collect();
     let one = |name: &str| figures.get(name).copied().unwrap_or(0);
-    let calls = |name: &str| one(name) as f64 / 256.0;
+    let calls = |name: &str| one(name) as f64 / PARTS_PER_PERMIT;
     let mut servers: BTreeMap<String, ServerLimits> = BTreeMap::new();
     for (name, value) in &figures {
         // A host name has dots of its own; the figure's name has none.
@@ -75,64 +78,64 @@
             "wait_ms" => entry.wait_ms = Some(*value),
             "silent" => entry.silent = *value > 0,
             "age_ms" => entry.age_ms = Some(*value),
-            "by" => entry.by = Some(*value),
+            "origin" => entry.origin = Some(*value),
             "own_wait_ms" => entry.own_wait_ms = Some(*value),
             "warned" => entry.warned = *value > 0,
-            "rights_milli" => entry.rights = Some(*value as f64 / 1e3),
+            "permits_milli" => entry.permits = Some(*value as f64 / 1e3),
             _ => {}
         }
     }
     Limits {
         name: called.name.clone(),
         shares: figures.contains_key("sent"),
-        peers_heard: one("peers_heard"),
+        peers_alive: one("peers_alive"),
         peers_lost: one("peers_lost"),
         bytes: one("bytes"),
-        put_off: one("put_off"),
-        lent: calls("rights_lent_256ths"),
-        borrowed: calls("rights_borrowed_256ths"),
-        too_late: calls("rights_too_late_256ths"),
+        rounds_deferred: one("rounds_deferred"),
+        lent: calls("permits_lent_256ths"),
+        borrowed: calls("permits_borrowed_256ths"),
+        too_late: calls("permits_too_late_256ths"),
         servers: servers.into_values().collect(),
     }
 }
 
-/// As a table; `-` stands where nothing is known.
+/// Formats the figures as a table; `-` stands for a missing figure.
 pub fn table(limits: &Limits) -> String {
     let mut text = String::new();
     if !limits.shares {
-        let _ = writeln!(text, "{}  shares nothing: no [instance.fleet] in its file", limits.name);
+        let _ = writeln!(text, "{}  not in a fleet: no [instance.fleet] in its file", limits.name);
         return text;
     }
     let _ = writeln!(
         text,
-        "{}  peers heard {}, lost {}  bytes sent {}  rounds put off {}  rights lent {:.1}, borrowed {:.1}, too late {:.1}",
+        "{}  peers alive {}, lost {}  bytes sent {}  rounds deferred {}  permits lent {:.1}, borrowed {:.1}, too late {:.1}",
         limits.name,
-        limits.peers_heard,
+        limits.peers_alive,
         limits.peers_lost,
         limits.bytes,
-        limits.put_off,
+        limits.rounds_deferred,
         limits.lent,
         limits.borrowed,
         limits.too_late
     );
     let _ = writeln!(
         text,
-        "    {:<24} {:>10} {:>8} {:>5} {:>10} {:>7} {:>7}",
-        "call server", "fleet ms", "age ms", "by", "own ms", "rights", "warned"
+        "    {:<24} {:>10} {:>8} {:>6} {:>10} {:>7} {:>7}",
+        "call server", "fleet ms", "age ms", "origin", "own ms", "permits", "warned"
     );
     let or_dash = |figure: Option<u64>| figure.map_or_else(|| "-".to_owned(), |figure| figure.to_string());
     for server in &limits.servers {
         let fleet = if server.silent { "silent".to_owned() } else { or_dash(server.wait_ms) };
-        let rights = server.rights.map_or_else(|| "-".to_owned(), |rights| format!("{rights:.2}"));
+        let permits = server.permits.map_or_else(|| "-".to_owned(), |permits| format!("{permits:.2}"));
         let _ = writeln!(
             text,
-            "    {:<24} {:>10} {:>8} {:>5} {:>10} {:>7} {:>7}",
+            "    {:<24} {:>10} {:>8} {:>6} {:>10} {:>7} {:>7}",
             server.host,
             fleet,
             or_dash(server.age_ms),
-            or_dash(server.by),
+            or_dash(server.origin),
             or_dash(server.own_wait_ms),
-            rights,
+            permits,
             if server.warned { "yes" } else { "no" }
         );
     }
@@ -140,22 +143,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn figures_become_a_table_and_what_is_not_known_a_dash() {
-        let answer = "SUCCESS figures follow\ncontroller.pending:3|g\ncontroller.fleet.sent:4|c\n\
-            controller.fleet.rights_lent_256ths:384|c\ncontroller.fleet.server.a.example.wait_ms:70|g\n\
-            controller.fleet.server.a.example.age_ms:9|g\ncontroller.fleet.server.a.example.by:2|g\n\
-            controller.fleet.server.b.warned:1|g\ncontroller.fleet.server.b.rights_milli:1500|g\nEOT\n";
-        let limits = read(&Called { name: "desks".to_owned(), answer: answer.to_owned() });
-        assert_eq!((limits.shares, limits.lent, limits.servers.len()), (true, 1.5, 2));
-        let text = table(&limits);
-        let words = |at: usize| text.lines().nth(at).expect("a line").split_whitespace().collect::<Vec<_>>();
-        assert_eq!(words(2), ["a.example", "70", "9", "2", "-", "-", "no"]);
-        assert_eq!(words(3), ["b", "-", "-", "-", "-", "1.50", "yes"]);
-        let alone = read(&Called { name: "desks".to_owned(), answer: "SUCCESS\nEOT\n".to_owned() });
-        assert!(table(&alone).contains("shares nothing"));
-    }
-}
+mod tests;
--- a/src/config.rs
+++ b/src/config.rs
@@ -528,27 +528,32 @@
     }
 }
 
-/// The other controllers that an instance shares with what it sees of the call servers.
+/// The smallest byte budget that a controller can take part in the fleet with.
+const MIN_FLEET_BYTES_PER_SECOND: u32 = 512;
+
+/// The `[instance.fleet]` section: the peers with which an instance shares its observations of the call servers.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct FleetForm {
-    /// Where their datagrams come to.
+    /// Address at which the peers' datagrams are received.
     listen: SocketAddr,
-    /// All of them by number, itself included, alike in every controller's file.
+    /// Addresses of all controllers, this one included, in the same order in every controller's file.
     peers: Vec<SocketAddr>,
-    /// Its own number, from 0 on.
+    /// Index of this controller in `peers`, from 0 on.
     me: u16,
+    /// Recipients of each gossip round.
     #[serde(default)]
     fanout: Option<u16>,
-    #[serde(default)]
-    bytes_a_second: Option<u32>,
-    /// For how long what was seen counts.
-    #[serde(default)]
-    stale_ms: Option<u64>,
+    /// Limit on the bytes sent per second.
+    #[serde(default, alias = "bytes_a_second")]
+    max_bytes_per_second: Option<u32>,
+    /// Age from which an observation is ignored.
+    #[serde(default, alias = "stale_ms")]
+    max_age_ms: Option<u64>,
 }
 
 impl FleetForm {
-    /// What the core is told, if the keys fit together; else the key at fault and why.
+    /// The core's configuration; an error holds the key at fault and the reason.
     fn checked(&self) -> Result<FleetConfig, (String, String)> {
         let wrong = |key: &str, why: String| Err((format!("fleet.{key}"), why));
         let Ok(controllers) = u16::try_from(self.peers.len()) else {
@@ -561,29 +566,33 @@
             }
             Some(_) => {}
         }
-        let usual = FleetConfig::default();
-        let fanout = self.fanout.unwrap_or(usual.fanout);
-        let bytes_a_second = self.bytes_a_second.unwrap_or(usual.bytes_a_second);
-        if fanout == 0 || bytes_a_second < 512 {
-            let key = if fanout == 0 { "fanout" } else { "bytes_a_second" };
-            return wrong(key, "too little to tell anybody anything".to_owned());
+        let defaults = FleetConfig::default();
+        let fanout = self.fanout.unwrap_or(defaults.fanout);
+        if fanout == 0 {
+            return wrong("fanout", "at least one recipient is needed".to_owned());
+        }
+        let max_bytes_per_second = self.max_bytes_per_second.unwrap_or(defaults.max_bytes_per_second);
+        if max_bytes_per_second < MIN_FLEET_BYTES_PER_SECOND {
+            let why = format!("{max_bytes_per_second} is less than {MIN_FLEET_BYTES_PER_SECOND}");
+            return wrong("max_bytes_per_second", why);
         }
-        let stale = self.stale_ms.map_or(usual.stale, Span::from_millis);
-        if stale < usual.refresh {
-            let why = format!("{} ms are less than it takes to be told again", stale.0 / 1_000);
-            return wrong("stale_ms", why);
+        let max_age = self.max_age_ms.map_or(defaults.max_age, Span::from_millis);
+        if max_age < defaults.refresh_interval {
+            let (max_age_ms, refresh_ms) = (max_age.0 / 1_000, defaults.refresh_interval.0 / 1_000);
+            let why = format!("{max_age_ms} ms is less than the refresh interval of {refresh_ms} ms");
+            return wrong("max_age_ms", why);
         }
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        let life = since.map_or(0, |since| (since.as_millis() & u128::from(u32::MAX)) as u32);
+        let incarnation = since.map_or(0, |since| (since.as_millis() & u128::from(u32::MAX)) as u32);
         Ok(FleetConfig {
             me: self.me,
             controllers,
-            life,
+            incarnation,
             seed: any_seed(),
             fanout,
-            bytes_a_second,
-            stale,
-            ..usual
+            max_bytes_per_second,
+            max_age,
+            ..defaults
         })
     }
 }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -1,56 +1,57 @@
-//! What the other controllers are told of the call servers, and what the module hears of theirs. Off where the
-//! configuration names no fleet: then a peer's datagram goes to the module as it is.
+//! Connects the core with the fleet: publishes what this controller observes of the call servers and passes the peers'
+//! observations on to the module. Without a fleet in the configuration a peer's datagram goes to the module as it is.
 
 use std::collections::BTreeMap;
 
 use crate::core::{Core, Due, Effect, HostLine};
-use crate::fleet::loans::{LoanCounts, RightsNews};
-use crate::fleet::sight::{listing_of_wait, wait_of_listing};
-use crate::fleet::warnings::Heard;
-use crate::fleet::{Fleet, FleetCounts, Key, News, Sight};
+use crate::fleet::credit_transfer::{CreditCounts, CreditNews};
+use crate::fleet::failure_detector::PeerCounts;
+use crate::fleet::observation::{decode_listing, encode_listing};
+use crate::fleet::warnings::{Expiry, WarningChange};
+use crate::fleet::{Fleet, FleetCounts, Key, News, Observation, Outgoing};
 use crate::interface::{Cause, Event, ListKind, Outcome, Parts, ServerId, ServerState, Span, Time};
 
-/// A 'full' without a wait means one past what any call can use: so many times the shortest aim.
-const FULL_MEANS: f64 = 1.5;
+/// A refusal as full without a wait is published as a wait too long for any call: this multiple of the shortest aim.
+const FULL_WAIT_FACTOR: f64 = 1.5;
 
-/// A call server as this controller and the fleet see it.
+/// The state of a call server as known to this controller and the fleet.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FleetView {
     /// Its host name.
     pub host: String,
-    /// The latest sight of it, whoever had it; `None`: nobody saw it of late.
-    pub sight: Option<Sight>,
-    /// How old that is.
+    /// The newest observation of it by any controller; `None`: there is no recent one.
+    pub newest: Option<Observation>,
+    /// Age of that observation.
     pub age: Span,
-    /// The last sight that this controller had itself.
-    pub own: Option<Sight>,
-    /// Whether another's directory says that it drains or is gone, and ours does not yet.
+    /// The last observation by this controller itself.
+    pub own: Option<Observation>,
+    /// Whether a peer's directory lists it as draining or gone, and ours does not yet.
     pub warned: bool,
-    /// The rights held here to send calls to it, in calls, borrowed ones included; `None`: it needs none.
-    pub rights: Option<f64>,
+    /// Permits held here to send calls to it, in calls, borrowed ones included; `None`: it needs none.
+    pub permits: Option<f64>,
 }
 
-/// What is told under a key.
+/// The subject of the observations under a key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum About {
-    /// What the call server's processor does.
+enum Subject {
+    /// The call server's processor.
     Processor(ServerId),
-    /// What the directories say of it.
+    /// The directories' entry for it.
     Listing(ServerId),
 }
 
-/// The call servers by the keys that controllers tell each other of them by.
+/// The call servers by their keys in datagrams.
 #[derive(Debug, Default)]
-pub(super) struct Keys(BTreeMap<Key, About>);
+pub(super) struct Keys(BTreeMap<Key, Subject>);
 
 impl Keys {
-    /// The call server of this number has this host name.
+    /// Adds a call server.
     pub(super) fn add(&mut self, server: ServerId, host: &str) {
-        self.0.insert(Key::of(host), About::Processor(server));
-        self.0.insert(Key::of_listing(host), About::Listing(server));
+        self.0.insert(Key::of(host), Subject::Processor(server));
+        self.0.insert(Key::of_listing(host), Subject::Listing(server));
     }
 
-    /// It has left for good.
+    /// Removes a call server that has left for good.
     pub(super) fn remove(&mut self, host: &str) {
         self.0.remove(&Key::of(host));
         self.0.remove(&Key::of_listing(host));
@@ -58,25 +59,25 @@
 }
 
 impl Core {
-    /// The fleet's part, begun when it is first needed: the core learns the time from its inputs.
+    /// The fleet membership, created when it is first needed: the core learns the time from its inputs.
     fn fleet(&mut self) -> Option<&mut Fleet> {
         let config = self.config.fleet.as_ref()?;
         let now = self.now;
         Some(self.fleet.get_or_insert_with(|| Fleet::new(config.clone(), now)))
     }
 
-    /// What an event of the module's tells of a call server is told to the others.
-    pub(super) fn note_sight(&mut self, event: &Event) {
+    /// Publishes what an event shows about a call server.
+    pub(super) fn publish_observation(&mut self, event: &Event) {
         if self.config.fleet.is_none() {
             return;
         }
-        let full = self.shortest_aim().share(FULL_MEANS);
+        let full = self.shortest_aim().share(FULL_WAIT_FACTOR);
         let (server, wait, silent) = match event {
             Event::Stands { server, took, .. } => (*server, *took, false),
             Event::Ended(end) => match (end.outcome, end.cause) {
                 (Outcome::Full, Cause::ProcessorFullFor(wait)) => (end.server, wait, false),
                 (Outcome::Full, Cause::ProcessorFull | Cause::None) => (end.server, full, false),
-                // It waited for so long in vain: the wait is no shorter.
+                // The attempt waited in vain for this long: the wait is no shorter.
                 (Outcome::TimedOut | Outcome::Cancelled, _) => (end.server, end.took, false),
                 (Outcome::Error, _) => (end.server, end.took, false),
                 (Outcome::ConnectFailed, _) => (end.server, Span::default(), true),
@@ -87,28 +88,28 @@
         let Some(key) = self.key_of(server) else { return };
         let now = self.now;
         if let Some(fleet) = self.fleet() {
-            fleet.saw(now, key, wait, silent);
+            fleet.observe(now, key, wait, silent);
         }
     }
 
-    /// A datagram of another controller.
+    /// Handles a datagram of a peer.
     pub(super) fn mail(&mut self, from: u16, data: Vec<u8>, out: &mut Vec<Effect>) {
         let now = self.now;
         let Some(fleet) = self.fleet() else { return self.feed(Event::Mail { from, data }, out) };
-        // What cannot be read is counted there.
-        let Ok(news) = fleet.hear(now, from, &data) else { return };
+        // Malformed datagrams are counted by the fleet.
+        let Ok(news) = fleet.receive(now, from, &data) else { return };
         for news in news {
             match news {
-                News::Seen(key, sight) => match self.keys.0.get(&key).copied() {
-                    Some(About::Processor(server)) => self.seen(server, sight, out),
-                    Some(About::Listing(server)) => self.warned(server, sight, out),
+                News::Observed(key, observation) => match self.keys.0.get(&key).copied() {
+                    Some(Subject::Processor(server)) => self.feed_observation(server, observation, out),
+                    Some(Subject::Listing(server)) => self.peer_listing(server, observation, out),
                     None => {}
                 },
-                News::Rights(RightsNews::Asked { from, key, parts }) => {
+                News::Credit(CreditNews::Requested { from, key, parts }) => {
                     let Some(server) = self.server_of(key) else { continue };
                     self.feed(Event::Asked { from, server, parts }, out);
                 }
-                News::Rights(RightsNews::Lent { key, parts }) => {
+                News::Credit(CreditNews::Granted { key, parts }) => {
                     let Some(server) = self.server_of(key) else { continue };
                     self.feed(Event::Lent { server, parts }, out);
                 }
@@ -116,133 +117,136 @@
         }
     }
 
-    fn seen(&mut self, server: ServerId, sight: Sight, out: &mut Vec<Effect>) {
+    /// Passes a peer's observation on to the module.
+    fn feed_observation(&mut self, server: ServerId, observation: Observation, out: &mut Vec<Effect>) {
         self.others_answer();
-        let Sight { wait, silent, at, .. } = sight;
+        let Observation { wait, silent, observed_at: at, .. } = observation;
         self.feed(Event::Seen { server, wait, silent, at }, out);
     }
 
-    /// The module lacks a right that others may have.
-    pub(super) fn lacks(&mut self, server: ServerId, parts: Parts) {
+    /// The module is short of permits that peers may have.
+    pub(super) fn request_credit(&mut self, server: ServerId, parts: Parts) {
         let (now, key) = (self.now, self.key_of(server));
         if let (Some(key), Some(fleet)) = (key, self.fleet()) {
-            fleet.lacks(now, key, parts);
+            fleet.request_credit(now, key, parts);
         }
     }
 
-    /// The module has taken off rights for another.
-    pub(super) fn lends(&mut self, to: u16, server: ServerId, parts: Parts) {
+    /// The module has taken credit off its own bucket for a peer.
+    pub(super) fn grant_credit(&mut self, to: u16, server: ServerId, parts: Parts) {
         let key = self.key_of(server);
         if let (Some(key), Some(fleet)) = (key, self.fleet()) {
-            fleet.loans.lends(to, key, parts);
+            fleet.credit.grant(to, key, parts);
         }
     }
 
-    /// Our own directory speaks of a call server: that counts, and the others are told where it says that no new call
-    /// is to go there, or no longer says so.
-    pub(super) fn note_listing(&mut self, server: ServerId, line: &HostLine) {
+    /// Our own directory lists a call server: its entry ends any warning. It is published if it keeps new calls away,
+    /// or if it differs from what the fleet knows.
+    pub(super) fn publish_listing(&mut self, server: ServerId, line: &HostLine) {
         let (now, state) = (self.now, line.state);
         self.keys.add(server, &line.host);
-        self.warnings.own(now, server);
+        self.warnings.record_own_listing(now, server);
         let key = Key::of_listing(&line.host);
         let Some(fleet) = self.fleet() else { return };
-        let otherwise = fleet.view(key, now).is_some_and(|s| s.wait != wait_of_listing(state));
-        if state != ServerState::Ready || otherwise {
-            fleet.saw(now, key, wait_of_listing(state), false);
+        let differs = fleet.view(key, now).is_some_and(|known| known.wait != encode_listing(state));
+        if state != ServerState::Ready || differs {
+            fleet.observe(now, key, encode_listing(state), false);
         }
     }
 
-    /// What another's directory says of a call server that ours lists.
-    fn warned(&mut self, server: ServerId, sight: Sight, out: &mut Vec<Effect>) {
+    /// Handles a peer's listing of a call server that our own directory lists too.
+    fn peer_listing(&mut self, server: ServerId, observation: Observation, out: &mut Vec<Effect>) {
         let Some(listed) = self.servers.get(&server) else { return };
-        let (Some(said), ServerState::Ready) = (listing_of_wait(sight.wait), listed.line.state) else {
+        let (Some(state), ServerState::Ready) = (decode_listing(observation.wait), listed.line.state) else {
             return;
         };
         let host = listed.line.host.clone();
-        match self.warnings.hear(self.now, server, said, sight.at) {
-            Heard::Nothing => {}
-            Heard::Warned(until) => {
+        let reported_at = observation.observed_at;
+        match self.warnings.record_peer_listing(self.now, server, state, reported_at) {
+            WarningChange::Unchanged => {}
+            WarningChange::Raised(until) => {
                 out.push(Effect::Log(format!(
-                    "warned: controller {} was told that {host} takes no new calls",
-                    sight.by
+                    "warning: the directory of controller {} lists {host} as taking no new calls",
+                    observation.origin
                 )));
                 out.push(Effect::Withdraw(server));
                 self.list_again(server, ServerState::Draining, out);
                 self.deadlines.set(until, Due::Warned(server));
             }
-            Heard::TakenBack => self.warning_ends(server, "another's list takes it back", out),
+            WarningChange::Withdrawn => self.end_warning(server, "withdrawn by a peer's directory", out),
         }
     }
 
-    /// A warning may have lasted long enough.
+    /// A warning may have expired.
     pub(super) fn warning_due(&mut self, server: ServerId, out: &mut Vec<Effect>) {
-        match self.warnings.look(self.now, server) {
-            Some(Ok(())) => self.warning_ends(server, "our own list says otherwise all the while", out),
-            Some(Err(later)) => self.deadlines.set(later, Due::Warned(server)),
+        match self.warnings.check_expiry(self.now, server) {
+            Some(Expiry::Expired) => self.end_warning(server, "not confirmed by our own directory", out),
+            Some(Expiry::ActiveUntil(later)) => self.deadlines.set(later, Due::Warned(server)),
             None => {}
         }
     }
 
-    fn warning_ends(&mut self, server: ServerId, why: &str, out: &mut Vec<Effect>) {
+    fn end_warning(&mut self, server: ServerId, why: &str, out: &mut Vec<Effect>) {
         let Some(line) = self.servers.get(&server).map(|listed| &listed.line) else { return };
         let state = line.state;
-        out.push(Effect::Log(format!("no longer warned of {}: {why}", line.host)));
+        out.push(Effect::Log(format!("warning for {} ends: {why}", line.host)));
         self.list_again(server, state, out);
     }
 
-    /// The module hears of a call server's state as if the list had told it.
+    /// Passes a state of a call server to the module as if the directory had listed it.
     pub(super) fn list_again(&mut self, server: ServerId, state: ServerState, out: &mut Vec<Effect>) {
         let Some(listed) = self.servers.get(&server) else { return };
         let entry = super::route::entry_of(server, &HostLine { state, ..listed.line.clone() });
         self.feed(Event::List { kind: ListKind::Delta, entries: vec![entry] }, out);
     }
 
-    /// The module hears what the others saw of call servers before they were listed here. Guards against a controller
-    /// that has just started, hears its peers before its list, and then finds out for itself what all know.
-    pub(super) fn recall_sights(&mut self, named: &[ServerId], out: &mut Vec<Effect>) {
+    /// Passes the observations of call servers received before these were listed here to the module. Guards against a
+    /// controller that has just started, hears its peers before its directory, and would ignore what they know.
+    pub(super) fn replay_observations(&mut self, named: &[ServerId], out: &mut Vec<Effect>) {
         let (Some(fleet), now) = (&self.fleet, self.now) else { return };
-        let sight = |server: &ServerId| Some((*server, fleet.view(self.key_of(*server)?, now)?));
-        let held: Vec<(ServerId, Sight)> = named.iter().filter_map(sight).collect();
-        for (server, sight) in held {
-            self.seen(server, sight, out);
+        let observed = |server: &ServerId| Some((*server, fleet.view(self.key_of(*server)?, now)?));
+        let held: Vec<(ServerId, Observation)> = named.iter().filter_map(observed).collect();
+        for (server, observation) in held {
+            self.feed_observation(server, observation, out);
         }
     }
 
-    /// Tells the others what is due.
+    /// Sends the datagrams that are due, and logs changes of the set of live peers.
     pub(super) fn tell_fleet(&mut self, out: &mut Vec<Effect>) {
         let now = self.now;
         let Some(fleet) = self.fleet() else { return };
         let mut datagrams = Vec::new();
-        fleet.turn(now, &mut datagrams);
-        out.extend(fleet.changes().into_iter().map(|change| Effect::Log(change.to_string())));
-        out.extend(datagrams.into_iter().map(|(to, data)| Effect::Tell(Some(to), data)));
+        fleet.poll(now, &mut datagrams);
+        let changes = fleet.take_peer_changes().into_iter();
+        out.extend(changes.map(|change| Effect::Log(change.to_string())));
+        out.extend(datagrams.into_iter().map(|Outgoing { to, bytes }| Effect::Tell(Some(to), bytes)));
     }
 
-    /// Sets the deadline for what is due next.
+    /// Sets the deadline of the next [`Core::tell_fleet`].
     pub(super) fn book_fleet(&mut self) {
         if let Some(fleet) = self.fleet() {
-            let due = fleet.due();
+            let due = fleet.next_poll();
             self.deadlines.set(due, Due::Fleet);
         }
     }
 
-    /// What the fleet knows of the listed call servers, by name; nothing where it is off.
+    /// The state of the listed call servers, sorted by name; empty without a fleet.
     pub fn fleet_view(&self, now: Time) -> Vec<FleetView> {
         let Some(fleet) = &self.fleet else { return Vec::new() };
         let listed = self.listed().filter(|line| line.state != ServerState::Gone);
         let mut view: Vec<FleetView> = listed
             .map(|line| {
                 let key = Key::of(&line.host);
-                let sight = fleet.view(key, now);
-                let age = sight.map(|s| s.age(now)).unwrap_or_default();
+                let newest = fleet.view(key, now);
+                let age = newest.map(|observation| observation.age(now)).unwrap_or_default();
                 let server = self.server_of(key);
                 FleetView {
                     host: line.host.clone(),
-                    sight,
+                    newest,
                     age,
                     own: fleet.own_view(key, now),
-                    warned: server.is_some_and(|server| self.warnings.in_force(server)),
-                    rights: server.and_then(|server| self.module.rights(server)),
+                    warned: server.is_some_and(|server| self.warnings.is_active(server)),
+                    permits: server.and_then(|server| self.module.rights(server)),
                 }
             })
             .collect();
@@ -250,19 +254,19 @@
         view
     }
 
-    /// Controllers that are heard, itself not counted, and those that were and are not any more.
-    pub fn fleet_heard(&self) -> (usize, usize) {
-        self.fleet.as_ref().map_or((0, 0), |fleet| fleet.reach.counts())
+    /// Number of peers alive and lost.
+    pub fn fleet_peers(&self) -> PeerCounts {
+        self.fleet.as_ref().map(|fleet| fleet.failure_detector.counts()).unwrap_or_default()
     }
 
-    /// What was told and heard; `None` where it is off.
+    /// Counters of the datagrams; `None` without a fleet.
     pub fn fleet_counts(&self) -> Option<FleetCounts> {
         self.fleet.as_ref().map(|fleet| fleet.counts)
     }
 
-    /// Rights lent and borrowed; `None` where it is off.
-    pub fn loan_counts(&self) -> Option<LoanCounts> {
-        self.fleet.as_ref().map(|fleet| fleet.loans.counts)
+    /// Counters of the credit lent and borrowed; `None` without a fleet.
+    pub fn credit_counts(&self) -> Option<CreditCounts> {
+        self.fleet.as_ref().map(|fleet| fleet.credit.counts)
     }
 
     fn key_of(&self, server: ServerId) -> Option<Key> {
@@ -271,8 +275,8 @@
 
     fn server_of(&self, key: Key) -> Option<ServerId> {
         match self.keys.0.get(&key) {
-            Some(About::Processor(server)) => Some(*server),
-            Some(About::Listing(_)) | None => None,
+            Some(Subject::Processor(server)) => Some(*server),
+            Some(Subject::Listing(_)) | None => None,
         }
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -328,7 +328,7 @@
     /// Whether a configuration has it take part among the controllers as it does now.
     pub fn same_fleet(&self, other: Option<&FleetConfig>) -> bool {
         let part = |fleet: &FleetConfig| {
-            (fleet.me, fleet.controllers, fleet.fanout, fleet.bytes_a_second, fleet.stale)
+            (fleet.me, fleet.controllers, fleet.fanout, fleet.max_bytes_per_second, fleet.max_age)
         };
         self.config.fleet.as_ref().map(part) == other.map(part)
     }
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -23,7 +23,7 @@
     pub(super) fn pump(&mut self, out: &mut Vec<Effect>) {
         let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
-            self.note_sight(&event);
+            self.publish_observation(&event);
             self.module.handle(self.now, event, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(action, out);
@@ -39,8 +39,8 @@
             Action::Cancel { call, attempt } => self.cancel(call, attempt.0, out),
             Action::Timer { after, token } => self.deadlines.set(self.now.plus(after), Due::Module(token)),
             Action::Tell { to, data } => out.push(Effect::Tell(to, data)),
-            Action::Lack { server, parts } => self.lacks(server, parts),
-            Action::Lend { to, server, parts } => self.lends(to, server, parts),
+            Action::Lack { server, parts } => self.request_credit(server, parts),
+            Action::Lend { to, server, parts } => self.grant_credit(to, server, parts),
             Action::Log(line) => out.push(Effect::Log(line)),
             // Probes are not allowed; ways to call servers are kept up; the list comes unasked.
             Action::Probe { .. } | Action::CloseIdle { .. } | Action::Watch(_) | Action::FetchList => {}
@@ -96,7 +96,7 @@
                 entries.extend(self.replaced_by(server, source, &line, out));
             }
             entries.push(entry_of(server, &HostLine { state: self.state_for_module(&line), ..line.clone() }));
-            self.note_listing(server, &line);
+            self.publish_listing(server, &line);
             self.keep_line(source, &line);
             let fresh = before.is_some_and(|(born, dial)| born != line.born_ms || dial != line.dial);
             let fresh = fresh.then_some(Time(line.born_ms.saturating_mul(1000)));
@@ -126,7 +126,7 @@
                 self.decide_at(*server, &line, out);
             }
             self.feed(Event::List { kind: ListKind::Delta, entries }, out);
-            self.recall_sights(&named, out);
+            self.replay_observations(&named, out);
         }
     }
 }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -622,10 +622,10 @@
     let config = FleetConfig { controllers: 3, ..FleetConfig::default() };
     drive.core.config.fleet = Some(config.clone());
     let mut other = Fleet::new(FleetConfig { me: 1, ..config }, drive.now);
-    other.saw(drive.now, Key::of("s1"), Span::from_millis(4_000), false);
+    other.observe(drive.now, Key::of("s1"), Span::from_millis(4_000), false);
     let mut out = Vec::new();
-    other.turn(drive.now, &mut out);
-    (drive, out.remove(0).1)
+    other.poll(drive.now, &mut out);
+    (drive, out.remove(0).bytes)
 }
 
 fn listed(drive: &mut Drive) {
@@ -682,7 +682,7 @@
     let told = told.iter().filter(|(_, e)| matches!(e, Effect::Tell(Some(1 | 2), _)));
     assert!(told.count() > 0);
     let view = drive.core.fleet_view(drive.now);
-    let wait = view.iter().find(|v| v.host == "s1").and_then(|v| v.sight).map(|s| s.wait);
+    let wait = view.iter().find(|v| v.host == "s1").and_then(|v| v.newest).map(|o| o.wait);
     assert_eq!(wait, Some(Span::from_millis(3_000)));
 }
 
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 
 use crate::core::FleetView;
-use crate::fleet::loans::LoanCounts;
+use crate::fleet::credit_transfer::CreditCounts;
+use crate::fleet::failure_detector::PeerCounts;
 use crate::fleet::FleetCounts;
 
 /// How a request ended.
@@ -78,12 +79,12 @@
     text
 }
 
-/// What all controllers know together, one figure a line: what was told and heard, and each call server's latest
-/// sight with its age. A call server that nobody saw of late has none.
+/// The fleet's figures, one per line: counters of datagrams and credit, the number of peers, and the newest observation
+/// of each call server with its age. A call server without a recent observation has none.
 pub fn fleet_lines(
     counts: &FleetCounts,
-    loans: &LoanCounts,
-    heard: (usize, usize),
+    credit: &CreditCounts,
+    peers: PeerCounts,
     view: &[FleetView],
 ) -> String {
     let mut text = String::new();
@@ -92,16 +93,16 @@
     };
     put("sent", counts.sent, 'c');
     put("bytes", counts.bytes, 'c');
-    put("heard", counts.heard, 'c');
+    put("received", counts.received, 'c');
     put("dropped", counts.dropped, 'c');
     put("malformed", counts.malformed, 'c');
-    put("put_off", counts.put_off, 'c');
-    put("peers_heard", heard.0 as u64, 'g');
-    put("peers_lost", heard.1 as u64, 'g');
-    put("rights_lent_256ths", loans.lent, 'c');
-    put("rights_borrowed_256ths", loans.borrowed, 'c');
-    put("rights_too_late_256ths", loans.too_late, 'c');
-    for FleetView { host, sight, age, own, warned, rights } in view {
+    put("rounds_deferred", counts.rounds_deferred, 'c');
+    put("peers_alive", peers.alive as u64, 'g');
+    put("peers_lost", peers.lost as u64, 'g');
+    put("permits_lent_256ths", credit.lent, 'c');
+    put("permits_borrowed_256ths", credit.borrowed, 'c');
+    put("permits_too_late_256ths", credit.too_late, 'c');
+    for FleetView { host, newest, age, own, warned, permits } in view {
         let mut put = |figure: &str, value: u64| put(&format!("server.{host}.{figure}"), value, 'g');
         if let Some(own) = own {
             put("own_wait_ms", own.wait.0 / 1_000);
@@ -110,14 +111,14 @@
         if *warned {
             put("warned", 1);
         }
-        if let Some(rights) = rights {
-            put("rights_milli", (rights.max(0.0) * 1e3) as u64);
+        if let Some(permits) = permits {
+            put("permits_milli", (permits.max(0.0) * 1e3) as u64);
         }
-        let Some(sight) = sight else { continue };
-        put("wait_ms", sight.wait.0 / 1_000);
-        put("silent", u64::from(sight.silent));
+        let Some(newest) = newest else { continue };
+        put("wait_ms", newest.wait.0 / 1_000);
+        put("silent", u64::from(newest.silent));
         put("age_ms", age.0 / 1_000);
-        put("by", u64::from(sight.by));
+        put("origin", u64::from(newest.origin));
     }
     text
 }
--- /dev/null
+++ b/src/fleet/credit_transfer.rs
@@ -0,0 +1,209 @@
+//! Transfer of permits for a cold call server between controllers.
+//!
+//! A controller that is short of permits asks a few peers at once, among them the one that last granted any. Each peer
+//! grants what it can spare. A grant counts only for a short time after the request, measured by the requester's own
+//! clock: credit that was delayed for long, in the network or by a suspended process, is void and cannot reach a call
+//! server that is still cold.
+
+use std::collections::BTreeMap;
+
+use super::datagram::CreditItem;
+use super::observation::Key;
+use crate::interface::{Parts, Span, Time};
+
+/// Time after a request within which a grant counts. Longer: more credit may be in transit at once
+/// ([`max_consumed_within`](super::token_bucket::max_consumed_within)). Shorter: grants of distant peers arrive too late.
+pub const REQUEST_TTL: Span = Span::from_millis(150);
+/// Peers asked at once. More: credit lies idle at the requester. Fewer: it may find none.
+const REQUEST_FANOUT: u16 = 2;
+/// Random draws per peer to be asked; a draw may name the same peer again.
+const DRAWS_PER_PEER: u16 = 4;
+/// A smaller grant is not worth a datagram.
+const MIN_GRANT: Parts = Parts(8);
+
+/// A message of a peer about credit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CreditNews {
+    /// The peer is short of permits.
+    Requested {
+        /// The peer.
+        from: u16,
+        /// The call server.
+        key: Key,
+        /// How much it needs.
+        parts: Parts,
+    },
+    /// The peer grants credit.
+    Granted {
+        /// The call server.
+        key: Key,
+        /// How much it grants.
+        parts: Parts,
+    },
+}
+
+/// Counters of transferred credit, in [`Parts`].
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CreditCounts {
+    /// Lent to peers.
+    pub lent: u64,
+    /// Borrowed in time.
+    pub borrowed: u64,
+    /// Granted by peers, but received too late to count.
+    pub too_late: u64,
+}
+
+/// When pending messages have to be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Urgency {
+    /// At once: a grant counts only for a short time.
+    Immediate,
+    /// In the next gossip round.
+    NextRound,
+}
+
+/// A request that is to be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CreditRequest {
+    /// The peers to ask.
+    pub recipients: Vec<u16>,
+    /// The credit needed.
+    pub items: Vec<CreditItem>,
+}
+
+/// A grant that is to be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CreditGrant {
+    /// The peer that asked for it.
+    pub to: u16,
+    /// The credit granted.
+    pub items: Vec<CreditItem>,
+}
+
+/// A shortfall that peers have not been asked to cover yet.
+#[derive(Debug)]
+struct Shortfall {
+    parts: Parts,
+    expires_at: Time,
+}
+
+/// Credit taken off here for a peer and not sent yet.
+#[derive(Debug, Default)]
+struct PendingGrant {
+    /// Timestamp of the request that it answers.
+    request_ms: u32,
+    credit: Vec<(Key, Parts)>,
+}
+
+/// The credit transfers of one controller.
+#[derive(Debug, Default)]
+pub struct CreditTransfer {
+    shortfalls: BTreeMap<Key, Shortfall>,
+    pending_grants: BTreeMap<u16, PendingGrant>,
+    /// Timestamp of each peer's latest request.
+    last_request_ms: BTreeMap<u16, u32>,
+    /// The peer that granted credit last; it is asked first the next time.
+    last_lender: Option<u16>,
+    /// Counters.
+    pub counts: CreditCounts,
+}
+
+impl CreditTransfer {
+    /// Notes that this controller is short of permits for a call server.
+    pub fn request(&mut self, now: Time, key: Key, parts: Parts) {
+        self.shortfalls.insert(key, Shortfall { parts, expires_at: now.plus(REQUEST_TTL) });
+    }
+
+    /// Notes credit that was taken off here for a peer. Dropped if the peer has not asked, or if it is too little.
+    pub fn grant(&mut self, to: u16, key: Key, parts: Parts) {
+        let Some(request_ms) = self.last_request_ms.get(&to).copied() else { return };
+        if parts < MIN_GRANT {
+            return;
+        }
+        self.counts.lent += u64::from(parts.0);
+        let pending = self.pending_grants.entry(to).or_default();
+        pending.request_ms = request_ms;
+        pending.credit.push((key, parts));
+    }
+
+    /// How urgently something has to be sent; `None`: nothing has.
+    pub fn urgency(&self) -> Option<Urgency> {
+        match (self.pending_grants.is_empty(), self.shortfalls.is_empty()) {
+            (false, _) => Some(Urgency::Immediate),
+            (true, false) => Some(Urgency::NextRound),
+            (true, true) => None,
+        }
+    }
+
+    /// Takes the grants that are to be sent now.
+    pub fn take_grants(&mut self) -> impl Iterator<Item = CreditGrant> {
+        std::mem::take(&mut self.pending_grants).into_iter().map(|(to, pending)| {
+            let echo = pending.request_ms;
+            let items = pending.credit.into_iter().map(|(key, parts)| CreditItem { key, parts, echo });
+            CreditGrant { to, items: items.collect() }
+        })
+    }
+
+    /// Takes the request that is to be sent now, if any; `draw` picks a random peer out of `peers`.
+    pub fn take_request(
+        &mut self,
+        now: Time,
+        peers: u16,
+        draw: impl FnMut() -> u16,
+    ) -> Option<CreditRequest> {
+        self.shortfalls.retain(|_, shortfall| now < shortfall.expires_at);
+        if self.shortfalls.is_empty() {
+            return None;
+        }
+        let shortfalls = std::mem::take(&mut self.shortfalls).into_iter();
+        let items = shortfalls.map(|(key, shortfall)| CreditItem { key, parts: shortfall.parts, echo: 0 });
+        Some(CreditRequest { items: items.collect(), recipients: self.recipients(peers, draw) })
+    }
+
+    /// The last lender, and random peers up to the fan-out.
+    fn recipients(&mut self, peers: u16, mut draw: impl FnMut() -> u16) -> Vec<u16> {
+        let mut recipients: Vec<u16> = self.last_lender.take().into_iter().collect();
+        let wanted = usize::from(REQUEST_FANOUT.min(peers));
+        for _ in 0..DRAWS_PER_PEER * REQUEST_FANOUT {
+            if recipients.len() >= wanted {
+                break;
+            }
+            let drawn = draw();
+            if !recipients.contains(&drawn) {
+                recipients.push(drawn);
+            }
+        }
+        recipients
+    }
+
+    /// Handles a peer's request; `sent_ms` is the timestamp of its datagram.
+    pub fn receive_request(&mut self, from: u16, sent_ms: u32, items: &[CreditItem]) -> Vec<CreditNews> {
+        self.last_request_ms.insert(from, sent_ms);
+        let requested = |item: &CreditItem| CreditNews::Requested { from, key: item.key, parts: item.parts };
+        items.iter().map(requested).collect()
+    }
+
+    /// Handles a peer's grant; items that answer a request too long ago are void.
+    pub fn receive_grant(&mut self, now: Time, from: u16, items: &[CreditItem]) -> Vec<CreditNews> {
+        let mut news = Vec::new();
+        for item in items {
+            let since_request = Span::from_millis(u64::from(timestamp_ms(now).wrapping_sub(item.echo)));
+            if since_request >= REQUEST_TTL {
+                self.counts.too_late += u64::from(item.parts.0);
+                continue;
+            }
+            self.counts.borrowed += u64::from(item.parts.0);
+            self.last_lender = Some(from);
+            news.push(CreditNews::Granted { key: item.key, parts: item.parts });
+        }
+        news
+    }
+}
+
+/// The timestamp that a datagram sent at `now` carries: milliseconds, lowest 32 bits.
+pub fn timestamp_ms(now: Time) -> u32 {
+    (now.0 / 1_000) as u32
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/fleet/datagram.rs
+++ b/src/fleet/datagram.rs
@@ -1,240 +1,229 @@
-//! The datagrams in which controllers tell each other what they saw. Version 1, big-endian, 256 bytes at most:
+//! Wire format of the datagrams between controllers. All numbers are big-endian; a datagram has 256 bytes at most.
 //!
-//! | bytes | what |
+//! Header, 14 bytes:
+//!
+//! | bytes | field |
+//! | --- | --- |
+//! | 0 | version: 1 for observations, 2 for credit |
+//! | 1 | number of items; bit 7 (128) marks a request |
+//! | 2-5 | incarnation of the sender: its clock at its start in milliseconds, lowest 32 bits |
+//! | 6-9 | sequence number of the datagram within the incarnation, from 1 on, counted over all recipients |
+//! | 10-13 | sender's clock at sending in milliseconds, lowest 32 bits |
+//!
+//! Version 1, observations: 0 to 20 items of 12 bytes. A request asks the receiver for newer observations.
+//!
+//! | bytes | field |
 //! | --- | --- |
-//! | 0 | version, 1 |
-//! | 1 | how many items follow, 0 to 20; 128 more: the sender asks for what the receiver knows later |
-//! | 2-5 | the sender's life: milliseconds of its clock at its start, lowest 32 bits |
-//! | 6-9 | number of the datagram in that life, from 1 on, for this receiver and all others together |
-//! | 10-13 | milliseconds of the sender's clock when it was sent, lowest 32 bits |
+//! | 0-3 | key of the call server |
+//! | 4-5 | wait in ms; 65535: the call server does not answer |
+//! | 6-7 | age in ms at sending |
+//! | 8-9 | origin: index of the controller that observed it |
+//! | 10-11 | version: the origin's count of published observations |
 //!
-//! An item has 12 bytes: key (4), wait in ms (2; 65535: it is silent), age in ms when it was sent (2), number of the
-//! controller that saw it (2), and that controller's count of the sights it has told (2).
+//! Version 2, credit for cold call servers: 0 to 24 items of 10 bytes. A request asks for credit, any other datagram
+//! grants it. A controller that knows version 1 alone drops the datagram and grants nothing.
 //!
-//! Version 2 has the same head and tells of rights to cold call servers: 128 in byte 1 says that the sender lacks them,
-//! else it lends them. An item has 10 bytes: key (4), parts of a right in 1/256 (2), and of a loan the `sent` stamp of
-//! the datagram that asked for it (4). A controller that speaks version 1 alone drops it whole and lends nothing.
+//! | bytes | field |
+//! | --- | --- |
+//! | 0-3 | key of the call server |
+//! | 4-5 | credit, in 1/256 of a permit |
+//! | 6-9 | of a grant, the sending time in the header of the request that it answers; else 0 |
 
-use super::sight::{Key, Sight, MOST};
+use super::observation::{Key, Observation, MAX_ENCODED_SPAN};
 use crate::interface::{Parts, Span, Time};
 
-/// Datagrams that tell of sights.
-const SIGHTS: u8 = 1;
-/// Datagrams that tell of rights.
-const RIGHTS: u8 = 2;
-const HEAD: usize = 14;
-const ITEM: usize = 12;
-const ASKS: u8 = 128;
-/// Items that a datagram of 256 bytes has room for.
-pub const MOST_ITEMS: usize = (256 - HEAD) / ITEM;
-const RIGHTS_ITEM: usize = 10;
-/// The same for rights.
-pub const MOST_RIGHTS: usize = (256 - HEAD) / RIGHTS_ITEM;
-/// In the place of a wait: it answers nothing.
-const SILENT: u16 = u16::MAX;
-
-/// A datagram that cannot be read. What it holds is dropped whole; nothing else is lost.
+/// Version of datagrams with observations.
+const OBSERVATIONS: u8 = 1;
+/// Version of datagrams with credit.
+const CREDIT: u8 = 2;
+/// Longest datagram, in bytes.
+const MAX_DATAGRAM_LEN: usize = 256;
+const HEADER_LEN: usize = 14;
+const OBSERVATION_LEN: usize = 12;
+const CREDIT_LEN: usize = 10;
+/// Bit of the item count that marks a request.
+const REQUEST_FLAG: u8 = 128;
+/// Observations that fit into a datagram.
+pub const MAX_OBSERVATIONS: usize = (MAX_DATAGRAM_LEN - HEADER_LEN) / OBSERVATION_LEN;
+/// Credit items that fit into a datagram.
+pub const MAX_CREDIT_ITEMS: usize = (MAX_DATAGRAM_LEN - HEADER_LEN) / CREDIT_LEN;
+/// Stands in place of the wait of a call server that does not answer.
+pub(super) const SILENT: u16 = u16::MAX;
+
+/// A datagram that cannot be decoded. It is dropped as a whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum DatagramError {
-    /// Another version, which may mean anything.
-    #[error("version {0}, where {SIGHTS} and {RIGHTS} are spoken")]
+    /// An unknown version.
+    #[error("version {0}, where {OBSERVATIONS} or {CREDIT} is expected")]
     Version(u8),
-    /// Its length is not what its items need.
+    /// The length does not match the number of items.
     #[error("{got} bytes, where {items} items need {need}")]
     Length {
-        /// Bytes that came.
+        /// Bytes received.
         got: usize,
-        /// Items that it says it has.
+        /// Items according to the header.
         items: u8,
-        /// Bytes that they need.
+        /// Bytes that so many items need.
         need: usize,
     },
 }
 
-/// What a datagram says besides its items.
+/// The header of a datagram.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Head {
-    /// The sender's life.
-    pub life: u32,
-    /// Its number in that life.
-    pub no: u32,
-    /// When it was sent, by the sender's clock in milliseconds.
+pub struct Header {
+    /// Incarnation of the sender.
+    pub incarnation: u32,
+    /// Sequence number within the incarnation.
+    pub sequence: u32,
+    /// Sender's clock at sending, in milliseconds.
     pub sent_ms: u32,
-    /// Whether the sender asks for what the receiver knows later.
-    pub asks: bool,
+    /// Whether the sender asks for newer observations, or for credit.
+    pub is_request: bool,
 }
 
-/// An item as it stands in a datagram.
+/// An observation as encoded in a datagram.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Item {
-    /// Which call server.
+pub struct ObservationItem {
+    /// The call server.
     pub key: Key,
     /// The wait there.
     pub wait: Span,
-    /// Whether it is silent.
+    /// Whether it does not answer.
     pub silent: bool,
-    /// How old this was when it was sent.
+    /// Age at sending.
     pub age: Span,
-    /// Who saw it.
-    pub by: u16,
-    /// Which of the sights that he has told.
-    pub no: u16,
+    /// Index of the controller that observed it.
+    pub origin: u16,
+    /// The origin's count of published observations.
+    pub version: u16,
 }
 
-impl Item {
-    /// A sight as it is told at `now`; what is beyond 65 s is told as about that.
-    pub fn of(key: Key, sight: &Sight, now: Time) -> Item {
-        let (wait, age) = (sight.wait.min(MOST), sight.age(now).min(MOST));
-        Item { key, wait, silent: sight.silent, age, by: sight.by, no: sight.no }
+impl ObservationItem {
+    /// An observation as sent at `now`; waits and ages above 65 s are capped.
+    pub fn of(key: Key, observation: &Observation, now: Time) -> ObservationItem {
+        let Observation { silent, origin, version, .. } = *observation;
+        let wait = observation.wait.min(MAX_ENCODED_SPAN);
+        let age = observation.age(now).min(MAX_ENCODED_SPAN);
+        ObservationItem { key, wait, silent, age, origin, version }
     }
 }
 
-/// Rights that are lacked or lent, as they stand in a datagram.
+/// Credit requested or granted, as encoded in a datagram.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RightsItem {
-    /// To which call server.
+pub struct CreditItem {
+    /// The call server.
     pub key: Key,
     /// How much.
     pub parts: Parts,
-    /// Of a loan, the stamp of the datagram that asked for it; else 0.
+    /// Of a grant, the sending time of the request that it answers; else 0.
     pub echo: u32,
 }
 
-/// What a datagram holds.
+/// The items of a datagram.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Body {
-    /// What was seen of call servers.
-    Sights(Vec<Item>),
-    /// Rights that are lacked (the head asks) or lent.
-    Rights(Vec<RightsItem>),
+    /// Observations of call servers; none in a heartbeat.
+    Observations(Vec<ObservationItem>),
+    /// Credit, requested or granted according to the header.
+    Credit(Vec<CreditItem>),
 }
 
-fn head_of(version: u8, items: usize, head: Head) -> Vec<u8> {
-    let mut bytes = vec![version, items as u8 | if head.asks { ASKS } else { 0 }];
-    for figure in [head.life, head.no, head.sent_ms] {
-        bytes.extend(figure.to_be_bytes());
+/// Encodes a datagram; items beyond [`MAX_OBSERVATIONS`] or [`MAX_CREDIT_ITEMS`] are left out.
+pub fn encode(header: Header, body: &Body) -> Vec<u8> {
+    match body {
+        Body::Observations(items) => encode_observations(header, &items[..items.len().min(MAX_OBSERVATIONS)]),
+        Body::Credit(items) => encode_credit(header, &items[..items.len().min(MAX_CREDIT_ITEMS)]),
     }
-    bytes
 }
 
-/// The bytes of a datagram; items beyond [`MOST_ITEMS`] or [`MOST_RIGHTS`] are left out.
-pub fn write(head: Head, body: &Body) -> Vec<u8> {
-    match body {
-        Body::Sights(items) => write_sights(head, &items[..items.len().min(MOST_ITEMS)]),
-        Body::Rights(items) => write_rights(head, &items[..items.len().min(MOST_RIGHTS)]),
+fn encode_header(version: u8, items: usize, header: Header) -> Vec<u8> {
+    let flag = if header.is_request { REQUEST_FLAG } else { 0 };
+    let mut bytes = vec![version, items as u8 | flag];
+    for field in [header.incarnation, header.sequence, header.sent_ms] {
+        bytes.extend(field.to_be_bytes());
     }
+    bytes
 }
 
-fn write_rights(head: Head, items: &[RightsItem]) -> Vec<u8> {
-    let mut bytes = head_of(RIGHTS, items.len(), head);
+fn encode_observations(header: Header, items: &[ObservationItem]) -> Vec<u8> {
+    let millis = |span: Span| u16::try_from(span.0 / 1_000).unwrap_or(u16::MAX);
+    let mut bytes = encode_header(OBSERVATIONS, items.len(), header);
     for item in items {
+        let wait = if item.silent { SILENT } else { millis(item.wait).min(SILENT - 1) };
         bytes.extend(item.key.0.to_be_bytes());
-        bytes.extend(item.parts.0.to_be_bytes());
-        bytes.extend(item.echo.to_be_bytes());
+        for field in [wait, millis(item.age), item.origin, item.version] {
+            bytes.extend(field.to_be_bytes());
+        }
     }
     bytes
 }
 
-fn write_sights(head: Head, items: &[Item]) -> Vec<u8> {
-    let mut bytes = head_of(SIGHTS, items.len(), head);
+fn encode_credit(header: Header, items: &[CreditItem]) -> Vec<u8> {
+    let mut bytes = encode_header(CREDIT, items.len(), header);
     for item in items {
-        let ms = |span: Span| u16::try_from(span.0 / 1_000).unwrap_or(u16::MAX);
-        let wait = if item.silent { SILENT } else { ms(item.wait).min(SILENT - 1) };
         bytes.extend(item.key.0.to_be_bytes());
-        for figure in [wait, ms(item.age), item.by, item.no] {
-            bytes.extend(figure.to_be_bytes());
-        }
+        bytes.extend(item.parts.0.to_be_bytes());
+        bytes.extend(item.echo.to_be_bytes());
     }
     bytes
 }
 
-/// Reads a datagram.
-pub fn read(bytes: &[u8]) -> Result<(Head, Body), DatagramError> {
-    let &[version, items, ..] = bytes else {
-        return Err(DatagramError::Length { got: bytes.len(), items: 0, need: HEAD });
+/// Decodes a datagram.
+pub fn decode(bytes: &[u8]) -> Result<(Header, Body), DatagramError> {
+    let &[version, count, ..] = bytes else {
+        return Err(DatagramError::Length { got: bytes.len(), items: 0, need: HEADER_LEN });
     };
-    let size = match version {
-        SIGHTS => ITEM,
-        RIGHTS => RIGHTS_ITEM,
+    let item_len = match version {
+        OBSERVATIONS => OBSERVATION_LEN,
+        CREDIT => CREDIT_LEN,
         _ => return Err(DatagramError::Version(version)),
     };
-    let (asks, items) = (items & ASKS != 0, items & !ASKS);
-    let need = HEAD + usize::from(items) * size;
+    let items = count & !REQUEST_FLAG;
+    let need = HEADER_LEN + usize::from(items) * item_len;
     if bytes.len() != need {
         return Err(DatagramError::Length { got: bytes.len(), items, need });
     }
-    let u32_at = |at: usize| u32::from_be_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]]);
-    let u16_at = |at: usize| u16::from_be_bytes([bytes[at], bytes[at + 1]]);
-    let ms_at = |at: usize| Span::from_millis(u64::from(u16_at(at)));
-    let head = Head { life: u32_at(2), no: u32_at(6), sent_ms: u32_at(10), asks };
-    let item = |at: usize| Item {
-        key: Key(u32_at(at)),
-        wait: if u16_at(at + 4) == SILENT { Span::default() } else { ms_at(at + 4) },
-        silent: u16_at(at + 4) == SILENT,
-        age: ms_at(at + 6),
-        by: u16_at(at + 8),
-        no: u16_at(at + 10),
-    };
-    let rights =
-        |at: usize| RightsItem { key: Key(u32_at(at)), parts: Parts(u16_at(at + 4)), echo: u32_at(at + 6) };
-    let each = (HEAD..need).step_by(size);
+    let encoded_items = bytes[HEADER_LEN..].chunks_exact(item_len);
     let body = match version {
-        RIGHTS => Body::Rights(each.map(rights).collect()),
-        _ => Body::Sights(each.map(item).collect()),
+        CREDIT => Body::Credit(encoded_items.map(decode_credit_item).collect()),
+        _ => Body::Observations(encoded_items.map(decode_observation_item).collect()),
     };
-    Ok((head, body))
+    Ok((decode_header(bytes), body))
 }
 
-#[cfg(test)]
-mod tests {
-    use proptest::prelude::*;
-
-    use super::*;
-
-    fn bodies() -> impl Strategy<Value = Body> {
-        let item = (any::<u32>(), any::<u16>(), any::<u32>());
-        let item =
-            item.prop_map(|(key, parts, echo)| RightsItem { key: Key(key), parts: Parts(parts), echo });
-        let rights = proptest::collection::vec(item, 0..=MOST_RIGHTS).prop_map(Body::Rights);
-        prop_oneof![items().prop_map(Body::Sights), rights]
+fn decode_header(bytes: &[u8]) -> Header {
+    Header {
+        incarnation: u32_at(bytes, 2),
+        sequence: u32_at(bytes, 6),
+        sent_ms: u32_at(bytes, 10),
+        is_request: bytes[1] & REQUEST_FLAG != 0,
     }
+}
 
-    fn items() -> impl Strategy<Value = Vec<Item>> {
-        let item = (any::<u32>(), proptest::option::of(0..SILENT), any::<u16>(), any::<u16>(), any::<u16>());
-        let item = item.prop_map(|(key, wait, age, by, no)| Item {
-            key: Key(key),
-            wait: Span::from_millis(u64::from(wait.unwrap_or(0))),
-            age: Span::from_millis(u64::from(age)),
-            by,
-            no,
-            silent: wait.is_none(),
-        });
-        proptest::collection::vec(item, 0..=MOST_ITEMS)
+fn decode_observation_item(bytes: &[u8]) -> ObservationItem {
+    let span_at = |at: usize| Span::from_millis(u64::from(u16_at(bytes, at)));
+    let silent = u16_at(bytes, 4) == SILENT;
+    ObservationItem {
+        key: Key(u32_at(bytes, 0)),
+        wait: if silent { Span::default() } else { span_at(4) },
+        silent,
+        age: span_at(6),
+        origin: u16_at(bytes, 8),
+        version: u16_at(bytes, 10),
     }
+}
 
-    proptest! {
-        #[test]
-        fn what_is_written_is_read_and_fits(body in bodies(), life: u32, no: u32, sent_ms: u32, asks: bool) {
-            let head = Head { life, no, sent_ms, asks };
-            let bytes = write(head, &body);
-            prop_assert!(bytes.len() <= 256);
-            prop_assert_eq!(read(&bytes), Ok((head, body)));
-        }
+fn decode_credit_item(bytes: &[u8]) -> CreditItem {
+    CreditItem { key: Key(u32_at(bytes, 0)), parts: Parts(u16_at(bytes, 4)), echo: u32_at(bytes, 6) }
+}
 
-        #[test]
-        fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
-            if let Ok((head, body)) = read(&bytes) {
-                prop_assert!(write(head, &body).len() <= bytes.len());
-            }
-        }
-    }
+fn u16_at(bytes: &[u8], at: usize) -> u16 {
+    u16::from_be_bytes([bytes[at], bytes[at + 1]])
+}
 
-    #[test]
-    fn what_is_not_of_this_version_or_cut_short_is_refused_by_name() {
-        let head = Head { life: 1, no: 2, sent_ms: 3, asks: false };
-        let mut bytes = write(head, &Body::Sights(Vec::new()));
-        assert_eq!(read(&bytes[..13]).unwrap_err().to_string(), "13 bytes, where 0 items need 14");
-        bytes[0] = 3;
-        assert_eq!(read(&bytes), Err(DatagramError::Version(3)));
-    }
+fn u32_at(bytes: &[u8], at: usize) -> u32 {
+    u32::from_be_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]])
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,394 +1,422 @@
-//! What all controllers know together of the call servers: each tells the others what it saw, and holds the latest
-//! sight of each call server, whoever had it. Sans-IO: sights, datagrams and times go in, datagrams and news come out.
-//! `docs/fleet-limits.md` weighs the ways and states the bounds.
+//! Gossip between controllers about the state of the call servers.
 //!
-//! A sight that changes how a call server looks is news. Whoever hears news tells it on, to a few controllers drawn
-//! anew each round, for as many rounds as it takes until all must have heard it. What nobody has heard, since links
-//! failed, is told again in the sweeps. Bytes a second are bounded for each controller whatever the size of the fleet;
-//! the most useful news goes first.
+//! Each controller publishes what it observes and keeps the newest observation of each call server, whoever made it.
+//! The module is sans-IO: observations, datagrams and times go in; datagrams and news come out.
+//! `docs/fleet-limits.md` compares the designs considered and states the bounds.
+//!
+//! An observation that changes the severity of a call server is news. It is forwarded to a few random peers per round,
+//! for as many rounds as it takes until all should have received it (rumour mongering). Periodic anti-entropy exchanges
+//! repair what lost datagrams left out. The bytes sent per second are limited whatever the size of the fleet; the
+//! largest changes go first.
 
+mod config;
+pub mod credit_transfer;
 pub mod datagram;
-pub mod link;
-pub mod loans;
-pub mod purse;
-pub mod reach;
-pub mod sight;
+pub mod failure_detector;
+pub mod observation;
+pub mod peer_clock;
+mod send_budget;
+pub mod token_bucket;
 pub mod warnings;
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 
 use crate::interface::{Parts, Span, Time};
-use datagram::{Body, DatagramError, Head, Item, MOST_ITEMS};
-use link::Link;
-use loans::{Loans, RightsNews};
-use reach::{Change, Reach};
-pub use sight::{Grade, Key, Sight};
-
-/// Call servers followed at once at most; memory only.
-const MOST_SERVERS: usize = 1_024;
-/// A wait that differs by fewer steps than this from what all know is not worth a datagram before the next refresh.
-const WORTH_TELLING: u8 = 2;
-
-/// How a controller takes part.
-#[derive(Debug, Clone, PartialEq)]
-pub struct FleetConfig {
-    /// Its number among the controllers.
-    pub me: u16,
-    /// Controllers in all, itself included.
-    pub controllers: u16,
-    /// Tells this life of the process from those before: milliseconds of the clock at its start.
-    pub life: u32,
-    /// For the draw of whom to tell.
-    pub seed: u64,
-    /// How many are told in a round.
-    pub fanout: u16,
-    /// The time between two rounds while there is news.
-    pub round: Span,
-    /// Bytes a second that it sends at most, over any long while.
-    pub bytes_a_second: u32,
-    /// What has not changed is told again after this long, if it was seen again.
-    pub refresh: Span,
-    /// The time between two sweeps, in which one other is told the latest of all and asked for what it knows later.
-    pub sweep: Span,
-    /// A sight of this age counts for nothing.
-    pub stale: Span,
-    /// What the shortest way between two controllers may take: added to the age of all that is heard, since clocks are
-    /// not compared. Lower than it is: what comes round again would look younger each time.
-    pub way: Span,
-}
-
-impl Default for FleetConfig {
-    fn default() -> Self {
-        Self {
-            me: 0,
-            controllers: 1,
-            life: 0,
-            seed: 0,
-            fanout: 3,
-            round: Span::from_millis(20),
-            bytes_a_second: 4_000,
-            refresh: Span::from_millis(1_000),
-            sweep: Span::from_millis(1_000),
-            stale: Span::from_millis(5_000),
-            way: Span::from_millis(15),
-        }
-    }
-}
+pub use config::FleetConfig;
+use credit_transfer::{timestamp_ms, CreditNews, CreditTransfer, Urgency};
+use datagram::{Body, DatagramError, Header, ObservationItem, MAX_OBSERVATIONS};
+use failure_detector::{FailureDetector, PeerChange, HEARTBEAT_INTERVAL};
+pub use observation::{Key, Observation, Severity};
+use peer_clock::PeerClock;
+use send_budget::SendBudget;
 
-impl FleetConfig {
-    /// Rounds for which news is told on. With `n` controllers and fan-out `f` the number that has heard grows by a
-    /// factor of up to `1 + f` a round: `log(n) / log(1 + f)` rounds reach all but those that the draws missed, two
-    /// more leave fewer than one in e^(2f) of them without word.
-    pub fn rounds(&self) -> u8 {
-        let growth = f64::from(self.fanout.max(1)) + 1.0;
-        let reach = f64::from(self.controllers.max(2)).ln() / growth.ln();
-        reach.ceil() as u8 + 2
-    }
-}
+/// Call servers tracked at once at most; bounds the memory.
+const MAX_TRACKED_SERVERS: usize = 1_024;
+/// A severity that differs by fewer steps from the known one is not published before the next refresh.
+const MIN_SEVERITY_CHANGE: u8 = 2;
 
-/// News from another controller, for the decisions.
+/// News from a peer, for the decisions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum News {
-    /// What was seen of a call server.
-    Seen(Key, Sight),
-    /// What is said of the rights to a cold one.
-    Rights(RightsNews),
+    /// A newer observation of a call server.
+    Observed(Key, Observation),
+    /// Credit requested or granted.
+    Credit(CreditNews),
+}
+
+/// A datagram to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outgoing {
+    /// Index of the recipient.
+    pub to: u16,
+    /// The encoded datagram.
+    pub bytes: Vec<u8>,
 }
 
-/// Plain counts.
+/// Counters since the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct FleetCounts {
-    /// Datagrams sent, and their bytes.
+    /// Datagrams sent.
     pub sent: u64,
-    /// Their bytes.
+    /// Bytes sent.
     pub bytes: u64,
-    /// Datagrams heard.
-    pub heard: u64,
-    /// Datagrams dropped: out of order, twice, or of an earlier life.
+    /// Datagrams received that could be decoded.
+    pub received: u64,
+    /// Datagrams dropped: out of order, duplicate, or of an earlier incarnation.
     pub dropped: u64,
-    /// Datagrams that cannot be read.
+    /// Datagrams that could not be decoded.
     pub malformed: u64,
-    /// Rounds put off for want of bytes.
-    pub put_off: u64,
+    /// Gossip rounds deferred because the byte budget was used up.
+    pub rounds_deferred: u64,
 }
 
+/// The newest observation of a call server, and its state of distribution.
 #[derive(Debug)]
-struct Held {
-    sight: Sight,
-    /// Rounds for which it is still told on.
-    rounds: u8,
-    /// By how much it changed what was known: the most useful goes first.
-    change: u8,
+struct Entry {
+    observation: Observation,
+    /// Rounds in which it is still forwarded.
+    rounds_left: u8,
+    /// Change of severity against what was known before; larger changes are sent first.
+    severity_change: u8,
 }
 
-/// One controller's part in what all know.
+/// One controller's membership in the fleet.
 #[derive(Debug)]
 pub struct Fleet {
     config: FleetConfig,
     rng: Pcg32,
-    held: BTreeMap<Key, Held>,
-    /// What this controller itself saw last, told or not.
-    own: BTreeMap<Key, Sight>,
-    links: BTreeMap<u16, Link>,
-    /// Who has asked, and for which he is to be told.
-    asked: BTreeMap<u16, Vec<Key>>,
-    told: u16,
-    sent: u32,
-    /// Bytes that may be sent, and when that was reckoned.
-    bytes: (f64, Time),
-    /// Rights lent and borrowed.
-    pub loans: Loans,
-    /// Who of the others is heard.
-    pub reach: Reach,
-    /// What changed of that and was not said yet.
-    changes: Vec<Change>,
+    entries: BTreeMap<Key, Entry>,
+    /// The latest observations of this controller itself, published or not.
+    own: BTreeMap<Key, Observation>,
+    peer_clocks: BTreeMap<u16, PeerClock>,
+    /// Peers that have asked for newer observations, and which are to be sent.
+    pending_replies: BTreeMap<u16, Vec<Key>>,
+    /// Version of the next observation that this controller publishes.
+    next_version: u16,
+    /// Sequence number of the last datagram sent.
+    last_sequence: u32,
+    send_budget: SendBudget,
+    /// Credit lent and borrowed.
+    pub credit: CreditTransfer,
+    /// Which peers are alive.
+    pub failure_detector: FailureDetector,
+    /// Peer changes not yet reported.
+    peer_changes: Vec<PeerChange>,
     next_round: Time,
-    next_sweep: Time,
-    next_look: Time,
-    /// Plain counts.
+    next_anti_entropy: Time,
+    next_heartbeat: Time,
+    /// Counters.
     pub counts: FleetCounts,
 }
 
 impl Fleet {
-    /// One that knows nothing yet.
+    /// A member that has no observations yet.
     pub fn new(config: FleetConfig, now: Time) -> Fleet {
         Fleet {
-            told: (config.life & 0xffff) as u16,
+            next_version: (config.incarnation & 0xffff) as u16,
             rng: Pcg32::seed_from_u64(config.seed),
-            held: BTreeMap::new(),
+            entries: BTreeMap::new(),
             own: BTreeMap::new(),
-            links: BTreeMap::new(),
-            asked: BTreeMap::new(),
-            sent: 0,
-            bytes: (f64::from(config.bytes_a_second), now),
-            loans: Loans::default(),
-            reach: Reach::new(config.me, config.controllers, now),
-            changes: Vec::new(),
+            peer_clocks: BTreeMap::new(),
+            pending_replies: BTreeMap::new(),
+            last_sequence: 0,
+            send_budget: SendBudget::new(config.max_bytes_per_second, now),
+            credit: CreditTransfer::default(),
+            failure_detector: FailureDetector::new(config.me, config.controllers, now),
+            peer_changes: Vec::new(),
             next_round: now,
-            // At once: one that has just started asks before it has work.
-            next_sweep: now,
-            next_look: now,
+            // Immediately: a controller that has just started asks its peers before it has work.
+            next_anti_entropy: now,
+            next_heartbeat: now,
             config,
             counts: FleetCounts::default(),
         }
     }
 
-    /// The latest sight of a call server, if it still counts.
-    pub fn view(&self, key: Key, now: Time) -> Option<Sight> {
-        self.held.get(&key).map(|h| h.sight).filter(|s| s.age(now) < self.config.stale)
+    /// The newest observation of a call server, unless it is too old.
+    pub fn view(&self, key: Key, now: Time) -> Option<Observation> {
+        self.entries.get(&key).map(|entry| entry.observation).filter(|o| o.age(now) < self.config.max_age)
     }
 
-    /// What this controller itself saw last of a call server, if that still counts.
-    pub fn own_view(&self, key: Key, now: Time) -> Option<Sight> {
-        self.own.get(&key).copied().filter(|s| s.age(now) < self.config.stale)
+    /// The last observation that this controller itself made of a call server, unless it is too old.
+    pub fn own_view(&self, key: Key, now: Time) -> Option<Observation> {
+        self.own.get(&key).copied().filter(|o| o.age(now) < self.config.max_age)
     }
 
-    /// This controller itself saw a call server: its wait, or that it is silent.
-    pub fn saw(&mut self, now: Time, key: Key, wait: Span, silent: bool) {
-        if !self.held.contains_key(&key) && self.held.len() >= MOST_SERVERS {
+    /// Records this controller's own observation of a call server; publishes it if it is news, or if a refresh is due.
+    pub fn observe(&mut self, now: Time, key: Key, wait: Span, silent: bool) {
+        if !self.has_room_for(key) {
             return;
         }
-        let sight = Sight { wait, silent, at: now, by: self.config.me, no: self.told };
-        self.own.insert(key, sight);
-        let before = self.view(key, now);
-        let change = before.map_or(WORTH_TELLING, |b| b.grade().apart(sight.grade()));
-        let verdict = before.is_some_and(|b| b.silent != silent);
-        let due = before.is_none_or(|b| b.age(now) >= self.config.refresh);
-        if change >= WORTH_TELLING || verdict || due {
-            self.told = self.told.wrapping_add(1);
-            let rounds = self.config.rounds();
-            self.held.insert(key, Held { sight, rounds, change });
+        let (origin, version) = (self.config.me, self.next_version);
+        let observation = Observation { wait, silent, observed_at: now, origin, version };
+        self.own.insert(key, observation);
+        let known = self.view(key, now);
+        let severity_change = severity_change(known, &observation);
+        let silence_changed = known.is_some_and(|k| k.silent != silent);
+        let refresh_due = known.is_none_or(|k| k.age(now) >= self.config.refresh_interval);
+        if severity_change >= MIN_SEVERITY_CHANGE || silence_changed || refresh_due {
+            self.next_version = self.next_version.wrapping_add(1);
+            self.publish(key, observation, severity_change);
         }
     }
 
-    /// A datagram of another controller came; what is new in it.
-    pub fn hear(&mut self, now: Time, from: u16, bytes: &[u8]) -> Result<Vec<News>, DatagramError> {
-        let read = datagram::read(bytes);
-        let (head, body) = read.inspect_err(|_| self.counts.malformed += 1)?;
-        self.counts.heard += 1;
-        let Some(late) = self.links.entry(from).or_default().hear(now, &head) else {
+    /// Whether a call server is tracked, or can be.
+    fn has_room_for(&self, key: Key) -> bool {
+        self.entries.contains_key(&key) || self.entries.len() < MAX_TRACKED_SERVERS
+    }
+
+    /// Stores an observation and forwards it in the next rounds.
+    fn publish(&mut self, key: Key, observation: Observation, severity_change: u8) {
+        let rounds_left = self.config.gossip_rounds();
+        self.entries.insert(key, Entry { observation, rounds_left, severity_change });
+    }
+
+    /// Handles a datagram of a peer; returns the news in it.
+    pub fn receive(&mut self, now: Time, from: u16, bytes: &[u8]) -> Result<Vec<News>, DatagramError> {
+        let decoded = datagram::decode(bytes);
+        let (header, body) = decoded.inspect_err(|_| self.counts.malformed += 1)?;
+        self.counts.received += 1;
+        let Some(extra_delay) = self.peer_clocks.entry(from).or_default().receive(now, &header) else {
             self.counts.dropped += 1;
             return Ok(Vec::new());
         };
-        self.reach.hears(now, from);
-        let items = match body {
-            Body::Sights(items) => items,
-            Body::Rights(items) => {
-                let news = self.loans.hear(now, from, head.asks, head.sent_ms, &items);
-                return Ok(news.into_iter().map(News::Rights).collect());
+        self.failure_detector.record_contact(now, from);
+        Ok(match body {
+            Body::Credit(items) => {
+                let news = if header.is_request {
+                    self.credit.receive_request(from, header.sent_ms, &items)
+                } else {
+                    self.credit.receive_grant(now, from, &items)
+                };
+                news.into_iter().map(News::Credit).collect()
             }
-        };
-        let on_its_way = Span(late.0.saturating_add(self.config.way.0));
-        if head.asks {
-            let said = |key: &Key| items.iter().find(|item| item.key == *key);
-            let knows =
-                |key: &Key, s: &Sight| said(key).is_some_and(|item| (item.by, item.no) == (s.by, s.no));
-            let later = self.held.iter().filter(|(key, held)| !knows(key, &held.sight)).map(|(key, _)| *key);
-            let later: Vec<Key> = later.take(MOST_ITEMS).collect();
-            if !later.is_empty() {
-                self.asked.insert(from, later);
+            Body::Observations(items) => {
+                if header.is_request {
+                    self.prepare_reply(from, &items);
+                }
+                let transit = Span(extra_delay.0.saturating_add(self.config.min_latency.0));
+                items.iter().filter_map(|item| self.merge(now, transit, item)).collect()
             }
+        })
+    }
+
+    /// Notes which observations a requesting peer does not have, judged by what it sent.
+    fn prepare_reply(&mut self, from: u16, items: &[ObservationItem]) {
+        let peer_has = |key: &Key, observation: &Observation| {
+            let item = items.iter().find(|item| item.key == *key);
+            item.is_some_and(|item| (item.origin, item.version) == (observation.origin, observation.version))
+        };
+        let missing = self.entries.iter().filter(|(key, entry)| !peer_has(key, &entry.observation));
+        let missing: Vec<Key> = missing.map(|(key, _)| *key).take(MAX_OBSERVATIONS).collect();
+        if !missing.is_empty() {
+            self.pending_replies.insert(from, missing);
         }
-        let mut news = Vec::new();
-        for item in items {
-            let at = Time(now.0.saturating_sub(item.age.0.saturating_add(on_its_way.0)));
-            let sight = Sight { wait: item.wait, silent: item.silent, at, by: item.by, no: item.no };
-            // What this controller saw itself it knows better, and old news is none.
-            if item.by == self.config.me || sight.age(now) >= self.config.stale {
-                continue;
-            }
-            let before = self.view(item.key, now);
-            if before.is_some_and(|b| !sight.supersedes(&b)) {
-                continue;
-            }
-            if before.is_none() && !self.held.contains_key(&item.key) && self.held.len() >= MOST_SERVERS {
-                continue;
-            }
-            let change = before.map_or(WORTH_TELLING, |b| b.grade().apart(sight.grade()));
-            self.held.insert(item.key, Held { sight, rounds: self.config.rounds(), change });
-            news.push(News::Seen(item.key, sight));
+    }
+
+    /// Merges a received observation that was in transit for `transit`; returns it if it is news.
+    fn merge(&mut self, now: Time, transit: Span, item: &ObservationItem) -> Option<News> {
+        let age = item.age.0.saturating_add(transit.0);
+        let observation = Observation {
+            wait: item.wait,
+            silent: item.silent,
+            observed_at: Time(now.0.saturating_sub(age)),
+            origin: item.origin,
+            version: item.version,
+        };
+        // This controller's own observations are known here better.
+        if item.origin == self.config.me || observation.age(now) >= self.config.max_age {
+            return None;
         }
-        Ok(news)
+        let known = self.view(item.key, now);
+        let is_newer = known.is_none_or(|known| observation.supersedes(&known));
+        if !is_newer || !self.has_room_for(item.key) {
+            return None;
+        }
+        self.publish(item.key, observation, severity_change(known, &observation));
+        Some(News::Observed(item.key, observation))
     }
 
-    /// When [`Fleet::turn`] is to be called next.
-    pub fn due(&self) -> Time {
-        let hot = self.held.values().any(|held| held.rounds > 0) || !self.asked.is_empty();
-        let usual = self.next_sweep.min(self.next_look);
-        match self.loans.due() {
-            // A loan cannot wait: it counts from the asking on.
-            Some(false) => Time::default(),
-            Some(true) => self.next_round.min(usual),
-            None if hot => self.next_round.min(usual),
-            None => usual,
+    /// When [`Fleet::poll`] is to be called next.
+    pub fn next_poll(&self) -> Time {
+        let has_rumours = self.entries.values().any(|entry| entry.rounds_left > 0);
+        let has_round_work = has_rumours || !self.pending_replies.is_empty();
+        let periodic = self.next_anti_entropy.min(self.next_heartbeat);
+        match self.credit.urgency() {
+            Some(Urgency::Immediate) => Time::default(),
+            Some(Urgency::NextRound) => self.next_round.min(periodic),
+            None if has_round_work => self.next_round.min(periodic),
+            None => periodic,
         }
     }
 
-    /// What changed of who is heard, since it was last asked for.
-    pub fn changes(&mut self) -> Vec<Change> {
-        std::mem::take(&mut self.changes)
+    /// Takes the changes of the set of live peers since the last call.
+    pub fn take_peer_changes(&mut self) -> Vec<PeerChange> {
+        std::mem::take(&mut self.peer_changes)
     }
 
-    /// A right to a cold call server is lacked here: others are asked in the next round.
-    pub fn lacks(&mut self, now: Time, key: Key, parts: Parts) {
+    /// Notes that this controller is short of permits for a cold call server: peers are asked in the next round.
+    pub fn request_credit(&mut self, now: Time, key: Key, parts: Parts) {
         if self.config.controllers > 1 {
-            self.loans.lacks(now, key, parts);
+            self.credit.request(now, key, parts);
         }
     }
 
-    /// Takes what has fallen due by `now`: datagrams to send, each with the number of whom it goes to.
-    pub fn turn(&mut self, now: Time, out: &mut Vec<(u16, Vec<u8>)>) {
-        let stale = self.config.stale;
-        self.held.retain(|_, held| held.sight.age(now) < stale);
-        self.own.retain(|_, sight| sight.age(now) < stale);
+    /// Does what is due at `now`; appends the datagrams to send to `out`.
+    pub fn poll(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        self.remove_stale(now);
         if self.config.controllers < 2 {
-            (self.next_round, self.next_sweep) = (now.plus(self.config.round), now.plus(self.config.sweep));
-            self.next_look = self.next_sweep;
+            self.next_round = now.plus(self.config.round);
+            self.next_anti_entropy = now.plus(self.config.anti_entropy_interval);
+            self.next_heartbeat = self.next_anti_entropy;
             return;
         }
-        let grants: Vec<_> = self.loans.grants().collect();
-        for (to, items) in grants {
-            // What no bytes are left for is lost, as on a link.
-            self.send(now, to, false, &Body::Rights(items), out);
+        self.send_grants(now, out);
+        if now >= self.next_anti_entropy {
+            self.start_anti_entropy(now, out);
         }
-        if now >= self.next_sweep {
-            // Half of it and up to as much again: controllers that start together do not sweep together for long.
-            let spread = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
-            self.next_sweep = now.plus(self.config.sweep.share(0.5 + spread));
-            let latest = self.items(now, |_, _| true, |held| std::cmp::Reverse(held.sight.at));
-            let to = self.draw();
-            self.send(now, to, true, &Body::Sights(latest), out);
+        if now >= self.next_heartbeat {
+            self.send_heartbeats(now, out);
         }
-        if now >= self.next_look {
-            self.next_look = now.plus(reach::ROUND);
-            self.changes.extend(self.reach.look(now));
-            for to in self.reach.round() {
-                self.send(now, to, false, &Body::Sights(Vec::new()), out);
-            }
+        if now >= self.next_round {
+            self.next_round = now.plus(self.config.round);
+            self.send_credit_request(now, out);
+            self.send_replies(now, out);
+            self.send_rumours(now, out);
         }
-        if now < self.next_round {
-            return;
+    }
+
+    fn remove_stale(&mut self, now: Time) {
+        let max_age = self.config.max_age;
+        self.entries.retain(|_, entry| entry.observation.age(now) < max_age);
+        self.own.retain(|_, observation| observation.age(now) < max_age);
+    }
+
+    /// Sends the pending grants. A grant that exceeds the byte budget is lost, as with a lost datagram.
+    fn send_grants(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        let grants: Vec<_> = self.credit.take_grants().collect();
+        for grant in grants {
+            self.send(now, grant.to, false, &Body::Credit(grant.items), out);
         }
-        self.next_round = now.plus(self.config.round);
-        let (me, others, rng) = (self.config.me, self.config.controllers - 1, &mut self.rng);
-        if let Some((whom, items)) = self.loans.asks(now, others, || draw(rng, me, others)) {
-            let body = Body::Rights(items);
-            for to in whom {
-                self.send(now, to, true, &body, out);
-            }
+    }
+
+    /// Sends the newest observations to a random peer and asks it for newer ones.
+    fn start_anti_entropy(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        // Between half and one and a half intervals: controllers that start together drift apart.
+        let jitter = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        self.next_anti_entropy = now.plus(self.config.anti_entropy_interval.share(0.5 + jitter));
+        let newest = self.select(now, |_, _| true, |entry| Reverse(entry.observation.observed_at));
+        let to = self.random_peer();
+        self.send(now, to, true, &Body::Observations(newest), out);
+    }
+
+    /// Checks which peers are alive and sends the heartbeats of this round.
+    fn send_heartbeats(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        self.next_heartbeat = now.plus(HEARTBEAT_INTERVAL);
+        self.peer_changes.extend(self.failure_detector.check(now));
+        for to in self.failure_detector.next_recipients() {
+            self.send(now, to, false, &Body::Observations(Vec::new()), out);
         }
-        for (to, keys) in std::mem::take(&mut self.asked) {
-            let later = self.items(now, |key, _| keys.contains(key), |held| std::cmp::Reverse(held.sight.at));
-            if !later.is_empty() {
-                self.send(now, to, false, &Body::Sights(later), out);
+    }
+
+    /// Asks peers for credit if this controller is short of permits.
+    fn send_credit_request(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        let (me, peers, rng) = (self.config.me, self.config.controllers - 1, &mut self.rng);
+        let Some(request) = self.credit.take_request(now, peers, || random_peer(rng, me, peers)) else {
+            return;
+        };
+        let body = Body::Credit(request.items);
+        for to in request.recipients {
+            self.send(now, to, true, &body, out);
+        }
+    }
+
+    /// Answers the peers that have asked for newer observations.
+    fn send_replies(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        for (to, keys) in std::mem::take(&mut self.pending_replies) {
+            let is_missing = |key: &Key, _: &Entry| keys.contains(key);
+            let missing = self.select(now, is_missing, |entry| Reverse(entry.observation.observed_at));
+            if !missing.is_empty() {
+                self.send(now, to, false, &Body::Observations(missing), out);
             }
         }
-        let order = |held: &Held| (std::cmp::Reverse(held.change), std::cmp::Reverse(held.sight.at));
-        let news = self.items(now, |_, held| held.rounds > 0, order);
-        if news.is_empty() {
+    }
+
+    /// Forwards the observations that are still news to random peers.
+    fn send_rumours(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        let by_change = |e: &Entry| (Reverse(e.severity_change), Reverse(e.observation.observed_at));
+        let rumours = self.select(now, |_, entry| entry.rounds_left > 0, by_change);
+        if rumours.is_empty() {
             return;
         }
-        let keys: Vec<Key> = news.iter().map(|item| item.key).collect();
-        let news = Body::Sights(news);
-        let mut reached = 0;
+        let keys: Vec<Key> = rumours.iter().map(|item| item.key).collect();
+        let body = Body::Observations(rumours);
+        let mut any_sent = false;
         for _ in 0..self.config.fanout.min(self.config.controllers - 1) {
-            let to = self.draw();
-            reached += usize::from(self.send(now, to, false, &news, out));
+            let to = self.random_peer();
+            any_sent |= self.send(now, to, false, &body, out);
         }
-        if reached == 0 {
-            self.counts.put_off += 1;
+        if !any_sent {
+            self.counts.rounds_deferred += 1;
             return;
         }
         for key in keys {
-            if let Some(held) = self.held.get_mut(&key) {
-                held.rounds = held.rounds.saturating_sub(1);
+            if let Some(entry) = self.entries.get_mut(&key) {
+                entry.rounds_left = entry.rounds_left.saturating_sub(1);
             }
         }
     }
 
-    /// The first items in this order, as many as a datagram holds.
-    fn items<K: Ord>(
+    /// The first entries in the given order that match, as many as fit into a datagram.
+    fn select<K: Ord>(
         &self,
         now: Time,
-        which: impl Fn(&Key, &Held) -> bool,
-        order: impl Fn(&Held) -> K,
-    ) -> Vec<Item> {
-        let mut held: Vec<(&Key, &Held)> = self.held.iter().filter(|(key, held)| which(key, held)).collect();
-        held.sort_by_key(|(_, held)| order(held));
-        held.into_iter().take(MOST_ITEMS).map(|(key, held)| Item::of(*key, &held.sight, now)).collect()
+        matches: impl Fn(&Key, &Entry) -> bool,
+        order: impl Fn(&Entry) -> K,
+    ) -> Vec<ObservationItem> {
+        let matching = self.entries.iter().filter(|(key, entry)| matches(key, entry));
+        let mut selected: Vec<(&Key, &Entry)> = matching.collect();
+        selected.sort_by_key(|(_, entry)| order(entry));
+        selected.truncate(MAX_OBSERVATIONS);
+        let item = |(key, entry): (&Key, &Entry)| ObservationItem::of(*key, &entry.observation, now);
+        selected.into_iter().map(item).collect()
     }
 
-    /// Any other controller.
-    fn draw(&mut self) -> u16 {
-        draw(&mut self.rng, self.config.me, self.config.controllers - 1)
+    fn random_peer(&mut self) -> u16 {
+        random_peer(&mut self.rng, self.config.me, self.config.controllers - 1)
     }
 
-    /// `false`: there were no bytes for it.
-    fn send(&mut self, now: Time, to: u16, asks: bool, body: &Body, out: &mut Vec<(u16, Vec<u8>)>) -> bool {
-        let most = f64::from(self.config.bytes_a_second);
-        let (left, at) = self.bytes;
-        let left = (left + now.since(at).secs() * most).min(most);
-        self.bytes = (left, now);
-        let head =
-            Head { life: self.config.life, no: self.sent.wrapping_add(1), sent_ms: loans::stamp(now), asks };
-        let bytes = datagram::write(head, body);
-        if bytes.len() as f64 > left {
+    /// Appends a datagram to `out`; `false`: the byte budget did not allow it.
+    fn send(&mut self, now: Time, to: u16, is_request: bool, body: &Body, out: &mut Vec<Outgoing>) -> bool {
+        let header = Header {
+            incarnation: self.config.incarnation,
+            sequence: self.last_sequence.wrapping_add(1),
+            sent_ms: timestamp_ms(now),
+            is_request,
+        };
+        let bytes = datagram::encode(header, body);
+        if !self.send_budget.try_take(now, bytes.len()) {
             return false;
         }
-        self.bytes.0 -= bytes.len() as f64;
-        self.sent = head.no;
+        self.last_sequence = header.sequence;
         self.counts.sent += 1;
         self.counts.bytes += bytes.len() as u64;
-        out.push((to, bytes));
+        out.push(Outgoing { to, bytes });
         true
     }
 }
 
-/// Any controller but `me`; there are `others` of them.
-fn draw(rng: &mut Pcg32, me: u16, others: u16) -> u16 {
-    let drawn = (rng.next_u32() % u32::from(others)) as u16;
+/// Change of severity that an observation brings; a call server that was unknown counts as news.
+fn severity_change(known: Option<Observation>, new: &Observation) -> u8 {
+    known.map_or(MIN_SEVERITY_CHANGE, |known| known.severity().distance(new.severity()))
+}
+
+/// A random controller other than `me`, out of `peers` peers.
+fn random_peer(rng: &mut Pcg32, me: u16, peers: u16) -> u16 {
+    let drawn = (rng.next_u32() % u32::from(peers)) as u16;
     drawn + u16::from(drawn >= me)
 }
--- /dev/null
+++ b/src/fleet/send_budget.rs
@@ -0,0 +1,31 @@
+//! Rate limit on the bytes that a controller sends to its peers.
+
+use crate::interface::Time;
+
+/// A token bucket of bytes, one second deep.
+#[derive(Debug)]
+pub(super) struct SendBudget {
+    bytes_per_second: f64,
+    available: f64,
+    updated_at: Time,
+}
+
+impl SendBudget {
+    /// A full bucket.
+    pub(super) fn new(bytes_per_second: u32, now: Time) -> SendBudget {
+        let bytes_per_second = f64::from(bytes_per_second);
+        SendBudget { bytes_per_second, available: bytes_per_second, updated_at: now }
+    }
+
+    /// Takes `bytes` if they are available; `false`: they are not, and nothing was taken.
+    pub(super) fn try_take(&mut self, now: Time, bytes: usize) -> bool {
+        let earned = now.since(self.updated_at).secs() * self.bytes_per_second;
+        self.available = (self.available + earned).min(self.bytes_per_second);
+        self.updated_at = now;
+        if bytes as f64 > self.available {
+            return false;
+        }
+        self.available -= bytes as f64;
+        true
+    }
+}
--- a/src/fleet/warnings.rs
+++ b/src/fleet/warnings.rs
@@ -1,132 +1,112 @@
-//! What the others' directories say of a call server before ours does. A directory may be seconds late, or cut off
-//! altogether: that a call server drains or is gone then comes from whoever has heard it. Such a warning keeps new
-//! calls away; it never brings any, and our own directory's next word ends it.
+//! Warnings: peers' directories report that a call server drains or is gone before our own directory does.
+//!
+//! A directory may be seconds late, or unreachable. A warning keeps new calls away from the call server; it never brings
+//! any, and the next entry of our own directory ends it.
 
 use std::collections::BTreeMap;
 
 use crate::interface::{ServerId, ServerState, Span, Time};
 
-/// A warning that our own directory does not confirm ends after this: its news is counted as told after 7 s at the
-/// latest, so that it has spoken by then, or the other was wrong.
-const LASTS: Span = Span::from_millis(10_000);
+/// A warning that our own directory does not confirm expires after this time. An entry counts as published after 7 s at
+/// the latest, so by then our directory has it too, or the peer was wrong.
+const WARNING_TTL: Span = Span::from_millis(10_000);
 
-/// What follows from what was heard.
+/// Effect of a peer's report on the warnings.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Heard {
-    /// Nothing: our own directory knows better, or it was known.
-    Nothing,
-    /// No new call goes there until this time at the latest.
-    Warned(Time),
-    /// The warning was taken back: our own directory's word counts again.
-    TakenBack,
+pub enum WarningChange {
+    /// None: our own directory is newer, or the warning was known.
+    Unchanged,
+    /// A warning was raised; it expires at this time unless it is repeated.
+    Raised(Time),
+    /// The warning was withdrawn: the entry of our own directory counts again.
+    Withdrawn,
 }
 
-/// The warnings in force.
+/// Result of an expiry check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Expiry {
+    /// The warning has expired and was removed.
+    Expired,
+    /// The warning is active and expires at this time.
+    ActiveUntil(Time),
+}
+
+/// An active warning.
+#[derive(Debug, Clone, Copy)]
+struct Warning {
+    /// When the peer's directory reported it, by our clock.
+    reported_at: Time,
+    expires_at: Time,
+}
+
+/// The active warnings.
 #[derive(Debug, Default)]
 pub struct Warnings {
-    /// When our own directory last spoke of each.
-    told: BTreeMap<ServerId, Time>,
-    /// When each warning was seen by whoever had it, and when it ends.
-    warned: BTreeMap<ServerId, (Time, Time)>,
+    /// When our own directory last listed each call server.
+    own_listed_at: BTreeMap<ServerId, Time>,
+    active: BTreeMap<ServerId, Warning>,
 }
 
 impl Warnings {
-    /// Our own directory speaks of a call server.
-    pub fn own(&mut self, now: Time, server: ServerId) {
-        self.told.insert(server, now);
-        self.warned.remove(&server);
+    /// Our own directory lists a call server: its warning ends.
+    pub fn record_own_listing(&mut self, now: Time, server: ServerId) {
+        self.own_listed_at.insert(server, now);
+        self.active.remove(&server);
     }
 
-    /// Another's directory said this at `at`, by our clock.
-    pub fn hear(&mut self, now: Time, server: ServerId, said: ServerState, at: Time) -> Heard {
-        // A call server that we do not list is none of ours; what ours said later counts.
-        if self.told.get(&server).is_none_or(|told| at <= *told) {
-            return Heard::Nothing;
+    /// A peer's directory reported `state` at `reported_at`, by our clock.
+    pub fn record_peer_listing(
+        &mut self,
+        now: Time,
+        server: ServerId,
+        state: ServerState,
+        reported_at: Time,
+    ) -> WarningChange {
+        // Unlisted call servers do not matter here; a newer entry of our own directory takes precedence.
+        if self.own_listed_at.get(&server).is_none_or(|listed_at| reported_at <= *listed_at) {
+            return WarningChange::Unchanged;
         }
-        match (said, self.warned.get(&server)) {
-            (ServerState::Ready, Some((seen, _))) if at > *seen => {
-                self.warned.remove(&server);
-                Heard::TakenBack
+        match (state, self.active.get(&server)) {
+            (ServerState::Ready, Some(warning)) if reported_at > warning.reported_at => {
+                self.active.remove(&server);
+                WarningChange::Withdrawn
             }
-            (ServerState::Ready, _) => Heard::Nothing,
+            (ServerState::Ready, _) => WarningChange::Unchanged,
             (ServerState::Draining | ServerState::Gone, known) => {
-                let new = known.is_none();
-                let until = now.plus(LASTS);
-                // Said again, later: it lasts on.
-                self.warned.insert(server, (at, until));
-                if new {
-                    Heard::Warned(until)
+                let is_new = known.is_none();
+                let expires_at = now.plus(WARNING_TTL);
+                // A repeated report extends the warning.
+                self.active.insert(server, Warning { reported_at, expires_at });
+                if is_new {
+                    WarningChange::Raised(expires_at)
                 } else {
-                    Heard::Nothing
+                    WarningChange::Unchanged
                 }
             }
         }
     }
 
-    /// Looks at a warning when it may have ended: `Ok`: it has; `Err`: when to look again. Without one nothing ends.
-    pub fn look(&mut self, now: Time, server: ServerId) -> Option<Result<(), Time>> {
-        let (_, until) = self.warned.get(&server).copied()?;
-        if now < until {
-            return Some(Err(until));
+    /// Removes the warning if it has expired; `None`: there is none.
+    pub fn check_expiry(&mut self, now: Time, server: ServerId) -> Option<Expiry> {
+        let expires_at = self.active.get(&server)?.expires_at;
+        if now < expires_at {
+            return Some(Expiry::ActiveUntil(expires_at));
         }
-        self.warned.remove(&server);
-        Some(Ok(()))
+        self.active.remove(&server);
+        Some(Expiry::Expired)
     }
 
-    /// Whether no new call is to go there for what another said.
-    pub fn in_force(&self, server: ServerId) -> bool {
-        self.warned.contains_key(&server)
+    /// Whether a warning keeps new calls away from a call server.
+    pub fn is_active(&self, server: ServerId) -> bool {
+        self.active.contains_key(&server)
     }
 
-    /// It has left for good.
+    /// Forgets a call server that has left for good.
     pub fn forget(&mut self, server: ServerId) {
-        self.told.remove(&server);
-        self.warned.remove(&server);
+        self.own_listed_at.remove(&server);
+        self.active.remove(&server);
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const S: ServerId = ServerId { address: 4, port: 0 };
-
-    fn at(ms: u64) -> Time {
-        Time(1_000_000 + ms * 1_000)
-    }
-
-    #[test]
-    fn the_others_word_counts_until_our_own_directory_speaks() {
-        let mut warnings = Warnings::default();
-        assert_eq!(warnings.hear(at(5), S, ServerState::Draining, at(4)), Heard::Nothing, "not ours");
-        warnings.own(at(10), S);
-        assert_eq!(warnings.hear(at(20), S, ServerState::Draining, at(9)), Heard::Nothing, "older than ours");
-        assert_eq!(warnings.hear(at(30), S, ServerState::Gone, at(25)), Heard::Warned(at(10_030)));
-        assert!(warnings.in_force(S));
-        warnings.own(at(40), S);
-        assert!(!warnings.in_force(S));
-        assert_eq!(warnings.look(at(10_030), S), None);
-    }
-
-    #[test]
-    fn one_that_nobody_confirms_ends_and_one_said_again_lasts() {
-        let mut warnings = Warnings::default();
-        warnings.own(at(0), S);
-        warnings.hear(at(100), S, ServerState::Draining, at(90));
-        assert_eq!(warnings.hear(at(4_100), S, ServerState::Draining, at(4_000)), Heard::Nothing);
-        assert_eq!(warnings.look(at(10_100), S), Some(Err(at(14_100))));
-        assert_eq!(warnings.look(at(14_100), S), Some(Ok(())));
-        assert!(!warnings.in_force(S));
-    }
-
-    #[test]
-    fn a_later_word_that_it_is_ready_takes_the_warning_back_an_older_one_does_not() {
-        let mut warnings = Warnings::default();
-        warnings.own(at(0), S);
-        warnings.hear(at(100), S, ServerState::Draining, at(90));
-        assert_eq!(warnings.hear(at(110), S, ServerState::Ready, at(80)), Heard::Nothing);
-        assert!(warnings.in_force(S));
-        assert_eq!(warnings.hear(at(120), S, ServerState::Ready, at(115)), Heard::TakenBack);
-        assert!(!warnings.in_force(S));
-    }
-}
+mod tests;
--- a/src/instance/operators.rs
+++ b/src/instance/operators.rs
@@ -106,10 +106,10 @@
     pub fn figures(&self) -> String {
         let state = self.0.state.borrow();
         let mut text = figures::lines(state.core.figures(), &self.gauges(&state));
-        if let (Some(counts), Some(loans)) = (state.core.fleet_counts(), state.core.loan_counts()) {
+        if let (Some(counts), Some(credit)) = (state.core.fleet_counts(), state.core.credit_counts()) {
             let now = self.0.clock.now();
-            let heard = state.core.fleet_heard();
-            text.push_str(&figures::fleet_lines(&counts, &loans, heard, &state.core.fleet_view(now)));
+            let peers = state.core.fleet_peers();
+            text.push_str(&figures::fleet_lines(&counts, &credit, peers, &state.core.fleet_view(now)));
         }
         if let Some(keeper) = &state.keeper {
             text.push_str(&keeper.lines());
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::draw::Draw;
-use crate::fleet::purse::Purse;
+use crate::fleet::token_bucket::TokenBucket;
 use crate::interface::{
     Action, Attempt, AttemptEnd, CallId, Cause, ClassSettings, Event, ListKind, LoadField, LoadReport,
     NewCall, Number, Outcome, Parts, RepeatGroup, Repeats, ServerEntry, ServerId, ServerState, Settings,
@@ -141,7 +141,7 @@
     /// When a silent server may be tested next.
     test_at: Time,
     /// The rights to send to it. While it is cold all calls need one, then only diverted ones.
-    rights: Option<Purse>,
+    rights: Option<TokenBucket>,
     /// Its lines or circuits, as last told; they go with its size.
     lines: Option<f64>,
     /// By how much its answers may be out of turn.
@@ -592,10 +592,10 @@
         started != Time::default() && self.now.since(started) < self.settings.cold
     }
 
-    /// A server fresh from a start gets this gateway's share of what it can do, as rights (`fleet::purse`)
-    /// that come at exponential gaps. Guards against all gateways falling back on it together: its window
-    /// is empty, so the throttle alone would stand open. A warm one gets diverted calls by such rights
-    /// too, or all gateways fill the few that seem well before any sees that they are full.
+    /// A server fresh from a start gets this gateway's share of what it can do, as rights
+    /// (`fleet::token_bucket`) that come at exponential gaps. Guards against all gateways falling back on it
+    /// together: its window is empty, so the throttle alone would stand open. A warm one gets diverted calls
+    /// by such rights too, or all gateways fill the few that seem well before any sees that they are full.
     fn rights_allow(&mut self, id: ServerId, spare: f64, diverted: bool) -> bool {
         let first = -self.rng.exponential();
         let is_cold = self.servers.get(&id).is_some_and(|s| self.is_cold(s));
@@ -603,7 +603,7 @@
             return true;
         }
         let Some((purse, rate, lapse)) = self.rights_come(id, first) else { return false };
-        let short = if is_cold { lapse * spare } else { 0.0 } - purse.holds();
+        let short = if is_cold { lapse * spare } else { 0.0 } - purse.available();
         if is_cold && short > 0.0 {
             self.lacked.push(Action::Lack { server: id, parts: Parts::of(short) });
         }
@@ -611,7 +611,7 @@
     }
 
     /// The rights to a server as they stand, how many come a second, and how many are kept at most.
-    fn rights_come(&mut self, id: ServerId, first: f64) -> Option<(Purse, f64, f64)> {
+    fn rights_come(&mut self, id: ServerId, first: f64) -> Option<(TokenBucket, f64, f64)> {
         let now = self.now;
         let Settings { cold, cold_share, overload_factor: multiple, .. } = self.settings;
         let share = cold_share.clamp(0.0, 1.0);
@@ -627,8 +627,8 @@
             usual * warm_push
         };
         let lapse = rate * COLD_LAPSE * self.settings.overload_time.max(self.shortest_aim).secs();
-        let purse = server.rights.get_or_insert(Purse::new(first, now));
-        purse.come(now, rate, lapse, || self.rng.exponential());
+        let purse = server.rights.get_or_insert(TokenBucket::new(first, now));
+        purse.refill(now, rate, lapse, || self.rng.exponential());
         Some((*purse, rate, lapse))
     }
 
@@ -644,7 +644,7 @@
 
     /// The rights held to send to a cold server, in calls; `None`: it needs none.
     pub fn rights(&self, id: ServerId) -> Option<f64> {
-        self.servers.get(&id).filter(|s| self.is_cold(s))?.rights.map(|purse| purse.holds())
+        self.servers.get(&id).filter(|s| self.is_cold(s))?.rights.map(|purse| purse.available())
     }
 
     /// A call was sent: a right, or a test of a silent server, is used up.
@@ -654,7 +654,7 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.test_at = test_at;
         if let Some(purse) = server.rights.as_mut().filter(|_| spent) {
-            purse.spend(gap);
+            purse.consume(gap);
         }
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! What all controllers know together, in driven time: the very code of `src/fleet`, with links that fail by a seed.
+//! Gossip between controllers in virtual time: the code of `src/fleet`, with links that fail at random by a seed.
 
 use lockpoint::fleet::{FleetConfig, Key};
 use lockpoint::interface::Span;
@@ -11,14 +11,14 @@
     Span::from_millis(ms)
 }
 
-/// How stale a verdict is at the others over some seeds: (half of them, nearly all (99%), the last), in ms.
+/// Time until an observation reaches each peer over some seeds: 50th and 99th percentile and maximum, in ms.
 fn over_seeds(controllers: u16, links: &Links, seeds: u64) -> (u64, u64, u64) {
     let mut took = Vec::new();
     for seed in 0..seeds {
         let mut sim = Sim::new(controllers, seed, links.clone(), &FleetConfig::default());
         sim.pass(ms(3_000));
         for all in staleness(&mut sim, (seed % u64::from(controllers)) as u16, SERVER, true, ms(5_000)) {
-            took.push(all.unwrap_or_else(|| panic!("seed {seed}: somebody never hears")).0 / 1_000);
+            took.push(all.unwrap_or_else(|| panic!("seed {seed}: a peer never receives it")).0 / 1_000);
         }
     }
     took.sort_unstable();
@@ -33,7 +33,7 @@
 #[case(100, 0.1, 250, 1_500)]
 #[case(100, 0.3, 250, 3_000)]
 #[case(300, 0.0, 250, 1_500)]
-fn a_verdict_reaches_all_others_in_time(
+fn an_observation_reaches_all_peers_in_time(
     #[case] controllers: u16,
     #[case] loss: f64,
     #[case] nearly_all: u64,
@@ -47,14 +47,14 @@
 }
 
 #[test]
-fn bytes_a_second_stay_bounded_as_the_fleet_grows() {
+fn bytes_per_second_stay_bounded_as_the_fleet_grows() {
     for controllers in [5, 50, 300] {
         let mut sim = Sim::new(controllers, 3, Links::default(), &FleetConfig::default());
-        // Ten call servers that everybody sees change all the time.
+        // Ten call servers whose state, as all controllers observe it, changes all the time.
         for step in 0..100u64 {
             for who in 0..controllers {
                 let wait = ms((step + u64::from(who)) % 7 * 200);
-                sim.saw(who, Key(u32::try_from(step % 10).expect("small")), wait, step % 3 == 0);
+                sim.observe(who, Key(u32::try_from(step % 10).expect("small")), wait, step % 3 == 0);
             }
             sim.pass(ms(100));
         }
@@ -65,14 +65,14 @@
 }
 
 #[test]
-fn two_halves_hold_what_their_own_saw_and_agree_soon_after_they_hear_each_other_again() {
+fn both_sides_of_a_partition_keep_their_observations_and_converge_after_it_heals() {
     for seed in 0..8 {
         let mut sim = Sim::new(20, seed, Links { twice: 0.05, ..Links::default() }, &FleetConfig::default());
         sim.links.groups = (0..20).map(|no| u8::from(no >= 10)).collect();
         sim.pass(ms(2_000));
-        sim.saw(3, SERVER, ms(0), true);
+        sim.observe(3, SERVER, ms(0), true);
         sim.pass(ms(200));
-        sim.saw(15, SERVER, ms(10), false);
+        sim.observe(15, SERVER, ms(10), false);
         sim.pass(ms(1_500));
         let silent = |sim: &Sim, no| sim.view(no, SERVER).map(|s| s.silent);
         assert!((0..10).all(|no| silent(&sim, no) == Some(true)), "seed {seed}");
@@ -80,75 +80,87 @@
         sim.links.groups.clear();
         let healed = sim.now;
         let agreed = sim.until(healed.plus(ms(2_500)), |sim| {
-            (0..20).all(|no| sim.view(no, SERVER).map(|s| (s.by, s.silent)) == Some((15, false)))
+            (0..20).all(|no| sim.view(no, SERVER).map(|s| (s.origin, s.silent)) == Some((15, false)))
         });
         assert!(agreed, "seed {seed}");
     }
 }
 
 #[test]
-fn news_does_not_go_round_for_ever_nor_grow_young() {
+fn forwarded_observations_expire_and_never_look_younger() {
     for seed in 0..8 {
         let mut sim = Sim::new(30, seed, Links { twice: 0.1, ..Links::default() }, &FleetConfig::default());
-        sim.saw(0, SERVER, ms(0), true);
+        sim.observe(0, SERVER, ms(0), true);
         sim.pass(ms(60));
-        sim.saw(1, SERVER, ms(0), false);
-        let seen = sim.now;
+        sim.observe(1, SERVER, ms(0), false);
+        let observed_at = sim.now;
         for _ in 0..40 {
             sim.pass(ms(100));
             for no in 0..30 {
-                let dated = sim.view(no, SERVER).map(|s| s.at).filter(|at| *at > seen);
-                assert!(dated.is_none(), "seed {seed}: {no} holds it as seen later than it was");
+                let dated = sim.view(no, SERVER).map(|s| s.observed_at).filter(|at| *at > observed_at);
+                assert!(dated.is_none(), "seed {seed}: {no} dates it later than it was observed");
             }
         }
         sim.pass(ms(2_000));
         assert!(
             (0..30).all(|no| sim.view(no, SERVER).is_none()),
-            "seed {seed}: what is stale counts for nothing"
+            "seed {seed}: a stale observation is ignored"
         );
     }
 }
 
 #[test]
-fn one_that_stood_still_takes_nothing_it_missed_for_new() {
+fn a_suspended_controller_ignores_stale_observations() {
     let mut sim = Sim::new(6, 1, Links::default(), &FleetConfig::default());
     sim.pass(ms(3_000));
-    // All links have been heard on by now, so that what is held up shows.
+    // All links have carried datagrams by now, so that delay is detected.
     for who in 0..6 {
-        sim.saw(who, Key(100 + u32::from(who)), ms(0), false);
+        sim.observe(who, Key(100 + u32::from(who)), ms(0), false);
         sim.pass(ms(2_500));
     }
     sim.stall(5, ms(8_000));
-    sim.saw(0, SERVER, ms(0), true);
+    sim.observe(0, SERVER, ms(0), true);
     sim.pass(ms(7_900));
     assert!(sim.view(5, SERVER).is_none());
     sim.pass(ms(300));
-    assert!(sim.view(5, SERVER).is_none(), "eight seconds old: it counts for nothing");
+    assert!(sim.view(5, SERVER).is_none(), "eight seconds old: it is ignored");
 }
 
 #[rstest]
 #[case::fits("me = 1\npeers = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]", None)]
-#[case::nobody(
+#[case::keys_of_earlier_releases(
+    "me = 1\nbytes_a_second = 600\nstale_ms = 2000\npeers = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]",
+    None
+)]
+#[case::old_and_new_key(
+    "me = 1\nmax_age_ms = 2000\nstale_ms = 2000\npeers = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]",
+    Some("duplicate field `max_age_ms`")
+)]
+#[case::small_byte_budget(
+    "me = 1\nmax_bytes_per_second = 511\npeers = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]",
+    Some("fleet.max_bytes_per_second': 511 is less than 512")
+)]
+#[case::index_out_of_range(
     "me = 2\npeers = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]",
     Some("fleet.me': 2 is not among the 2 of 'peers'")
 )]
-#[case::elsewhere(
+#[case::other_port(
     "me = 0\npeers = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]",
     Some("fleet.listen': 127.0.0.1:7002 is not where the others send, 127.0.0.1:7001")
 )]
-#[case::mute(
+#[case::no_fanout(
     "me = 1\nfanout = 0\npeers = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]",
-    Some("fleet.fanout': too little to tell anybody anything")
+    Some("fleet.fanout': at least one recipient is needed")
 )]
-#[case::forgetful(
-    "me = 1\nstale_ms = 5\npeers = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]",
-    Some("fleet.stale_ms': 5 ms are less")
+#[case::small_max_age(
+    "me = 1\nmax_age_ms = 5\npeers = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]",
+    Some("fleet.max_age_ms': 5 ms is less")
 )]
 #[case::misspelt(
     "me = 1\npeer = []\npeers = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]",
     Some("unknown field `peer`")
 )]
-fn the_keys_of_a_fleet_are_checked_by_name(#[case] keys: &str, #[case] wrong: Option<&str>) {
+fn fleet_keys_are_validated_and_named_in_errors(#[case] keys: &str, #[case] wrong: Option<&str>) {
     let example = include_str!("../deploy/agent.toml");
     let fleet = format!("[instance.fleet]\nlisten = \"127.0.0.1:7002\"\n{keys}\n\n[instance.limits]");
     let text = example.replacen("[instance.limits]", &fleet, 1);
--- a/tests/fleet_processes.rs
+++ b/tests/fleet_processes.rs
@@ -1,5 +1,5 @@
-//! Several processes of the program around the same call servers, with faults between them. What counts is what the
-//! call servers see; what the controllers say of themselves is only waited on.
+//! Several controller processes that share the call servers, with faults between them. Assertions rely on what the call
+//! servers receive; the controllers' own figures are used mainly to wait for a state.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -9,7 +9,7 @@
 use lockpoint::interface::Span;
 use lockpoint_lab::bulletin::{born_host, host, Bulletin};
 use lockpoint_lab::callers::Caller;
-use lockpoint_lab::fleet::processes::{settings, Processes, Told};
+use lockpoint_lab::fleet::processes::{settings, Processes, ReportedObservation};
 use lockpoint_lab::machine::Machine;
 use lockpoint_lab::processor::ProcessorConfig;
 use lockpoint_lab::sip::{Does, SipServer};
@@ -68,17 +68,17 @@
         let headers = format!("P-Reason: queue_long\r\nP-Line-Ms: {ms}\r\n");
         *self.servers[1].does.borrow_mut() = Does::Refuse(503, headers);
         let tried = self.call(me).await;
-        assert_eq!(tried.first().map(String::as_str), Some("s1"), "nobody has told it yet");
+        assert_eq!(tried.first().map(String::as_str), Some("s1"), "no peer has reported it yet");
         *self.servers[1].does.borrow_mut() = Does::Answer("v=0\r\n".into());
     }
 }
 
-fn full_by(me: u16) -> impl Fn(Option<Told>) -> bool {
-    move |told| told.is_some_and(|t| t.by == me && t.wait_ms >= FULL_MS)
+fn full_by(me: u16) -> impl Fn(Option<ReportedObservation>) -> bool {
+    move |reported| reported.is_some_and(|t| t.origin == me && t.wait_ms >= FULL_MS)
 }
 
 #[test]
-fn what_one_process_found_full_the_others_spare() {
+fn peers_avoid_a_call_server_that_one_controller_found_full() {
     on_one_thread(async {
         let mut scene = Scene::set(4, 1).await;
         // A wait that does not run down meanwhile, however busy the machine is.
@@ -92,7 +92,7 @@
 }
 
 #[test]
-fn without_sharing_each_process_finds_out_by_itself() {
+fn without_a_fleet_each_controller_finds_out_by_itself() {
     on_one_thread(async {
         let mut scene = Scene::set_with(2, None, 2).await;
         scene.finds_full(0).await;
@@ -104,13 +104,13 @@
 }
 
 #[test]
-fn of_two_halves_each_holds_its_own_and_both_agree_after_the_links_heal() {
+fn both_sides_of_a_partition_keep_their_observations_and_converge_after_it_heals() {
     on_one_thread(async {
         let mut scene = Scene::set(6, 3).await;
         let lost = |n: u64| move |f: &BTreeMap<String, u64>| f.get("fleet.peers_lost") == Some(&n);
         for any in 0..6 {
-            let heard = |f: &BTreeMap<String, u64>| f.get("fleet.peers_heard") == Some(&5);
-            scene.fleet.until_figures("all have been heard", any, heard).await;
+            let all_alive = |f: &BTreeMap<String, u64>| f.get("fleet.peers_alive") == Some(&5);
+            scene.fleet.until_figures("all are alive", any, all_alive).await;
         }
         scene.fleet.mesh.links.borrow_mut().split(3, 6);
         for any in 0..6 {
@@ -122,17 +122,19 @@
         }
         // The far half knows nothing of it: each asks s1 first, and is answered.
         assert_eq!(scene.call(4).await, ["s1"]);
-        let well = |told: Option<Told>| told.is_some_and(|t| t.by == 4 && t.wait_ms < 1_000);
+        let well = |reported: Option<ReportedObservation>| {
+            reported.is_some_and(|t| t.origin == 4 && t.wait_ms < 1_000)
+        };
         scene.fleet.until("the far half hears its own", 5, "s1", well).await;
         assert!(!well(scene.fleet.view(1, "s1").await), "and the near half nothing of that");
         assert!(scene.fleet.mesh.lost.get() > 0);
         scene.fleet.mesh.links.borrow_mut().groups.clear();
-        // The later sight counts for all.
+        // All converge to the newer observation.
         for any in 0..6 {
             scene.fleet.until("all agree", any, "s1", well).await;
         }
         for any in 0..6 {
-            scene.fleet.until_figures("all are heard again", any, lost(0)).await;
+            scene.fleet.until_figures("all are alive again", any, lost(0)).await;
         }
         // Not the one that was refused there: its own throttle may still keep it away.
         assert_eq!(scene.call(1).await, ["s1"]);
@@ -141,7 +143,7 @@
 }
 
 #[test]
-fn one_link_cut_one_way_and_three_in_ten_datagrams_lost_keep_nobody_in_the_dark() {
+fn observations_reach_all_despite_one_way_cuts_and_loss() {
     on_one_thread(async {
         let mut scene = Scene::set(5, 4).await;
         {
@@ -158,25 +160,25 @@
 }
 
 #[test]
-fn a_process_that_stood_still_takes_nothing_old_for_new() {
+fn a_suspended_process_ignores_stale_observations() {
     on_one_thread(async {
         let mut scene = Scene::set(3, 5).await;
-        // Every link has been heard on, so that what is held up shows.
+        // Every link has carried datagrams, so that delay is detected.
         for (me, other) in [(0, 2), (1, 2)] {
             scene.finds_full(me).await;
             scene.fleet.until("it hears", other, "s1", full_by(me)).await;
             for all in 0..3 {
-                scene.fleet.until("it is forgotten", all, "s1", |told| told.is_none()).await;
+                scene.fleet.until("it is forgotten", all, "s1", |reported| reported.is_none()).await;
             }
         }
-        let heard = scene.fleet.figures(2).await["fleet.heard"];
+        let received = scene.fleet.figures(2).await["fleet.received"];
         scene.fleet.stall(2, true).expect("it runs");
         scene.finds_full(0).await;
         scene.fleet.until("the others hear", 1, "s1", full_by(0)).await;
-        scene.fleet.until("until it is stale", 1, "s1", |told| told.is_none()).await;
+        scene.fleet.until("until it is stale", 1, "s1", |reported| reported.is_none()).await;
         scene.fleet.stall(2, false).expect("it runs");
         let end = tokio::time::Instant::now() + std::time::Duration::from_secs(20);
-        while scene.fleet.figures(2).await["fleet.heard"] <= heard {
+        while scene.fleet.figures(2).await["fleet.received"] <= received {
             assert!(tokio::time::Instant::now() < end, "it reads what waited for it");
         }
         assert!(scene.fleet.view(2, "s1").await.is_none());
@@ -186,39 +188,39 @@
 }
 
 #[test]
-fn a_process_killed_and_started_again_hears_what_the_others_know() {
+fn a_restarted_process_receives_the_observations_of_its_peers() {
     on_one_thread(async {
-        // However long the start takes on a busy machine, what the others saw still counts.
-        let mut scene = Scene::set_with(3, Some(json!({"stale_ms": 60_000})), 6).await;
+        // The observations stay valid however long the start takes on a busy machine.
+        let mut scene = Scene::set_with(3, Some(json!({"max_age_ms": 60_000})), 6).await;
         scene.fleet.kill(2).await;
         scene.finds_full(0).await;
         scene.fleet.until("it hears", 1, "s1", full_by(0)).await;
         scene.fleet.begin(2).await.expect("it starts again");
-        // Nobody has news any more: the sweeps tell it.
-        scene.fleet.until("the new life hears", 2, "s1", full_by(0)).await;
+        // No controller forwards it any more: anti-entropy does.
+        scene.fleet.until("the new incarnation hears", 2, "s1", full_by(0)).await;
         assert!(scene.fleet.stop().await);
     });
 }
 
 #[test]
-fn a_slow_way_makes_news_old_not_new() {
+fn latency_counts_towards_the_age_of_an_observation() {
     on_one_thread(async {
         let mut scene = Scene::set(2, 7).await;
-        scene.fleet.mesh.links.borrow_mut().way = (Span::from_millis(5), Span::from_millis(5));
+        scene.fleet.mesh.links.borrow_mut().latency = (Span::from_millis(5), Span::from_millis(5));
         scene.finds_full(0).await;
         scene.fleet.until("it hears", 1, "s1", full_by(0)).await;
-        scene.fleet.until("it is forgotten", 1, "s1", |told| told.is_none()).await;
-        scene.fleet.mesh.links.borrow_mut().way = (Span::from_millis(1_500), Span::from_millis(1_500));
+        scene.fleet.until("it is forgotten", 1, "s1", |reported| reported.is_none()).await;
+        scene.fleet.mesh.links.borrow_mut().latency = (Span::from_millis(1_500), Span::from_millis(1_500));
         scene.finds_full(1).await;
-        let told = scene.fleet.until("it hears late", 0, "s1", full_by(1)).await.expect("held");
-        assert!(told.age_ms >= 1_400, "{told:?}");
+        let late = scene.fleet.until("it hears late", 0, "s1", full_by(1)).await.expect("held");
+        assert!(late.age_ms >= 1_400, "{late:?}");
         assert!(scene.fleet.stop().await);
     });
 }
 
 /// Guards against a controller whose list is late, or cut off, that goes on sending to a call server which drains.
 #[test]
-fn a_controller_that_hears_no_list_is_warned_by_the_others_until_its_own_list_speaks() {
+fn a_controller_without_its_directory_is_warned_by_peers_until_the_directory_answers() {
     on_one_thread(async {
         println!("seed 8");
         let world = World::default();
@@ -234,7 +236,7 @@
         let fleet = Processes::prepare(Path::new(PROGRAM), 3, bulletin.at, &settings(), 8).await;
         let (mut fleet, calls) = (fleet.expect("a fleet"), 0);
         fleet.bulletins.insert(2, late.at);
-        fleet.shares = Some(json!({"stale_ms": 60_000}));
+        fleet.shares = Some(json!({"max_age_ms": 60_000}));
         fleet.begin_all().await.expect("they serve");
         let mut scene = Scene { world, servers, fleet, calls };
         let line = |scene: &Scene, n: usize, state| {
@@ -242,7 +244,7 @@
         };
         let warned =
             |figures: &BTreeMap<String, u64>| figures.get("fleet.server.s1.warned").copied() == Some(1);
-        // Cut off from both, it knows nothing and goes on.
+        // Cut off from both peers, it knows nothing and goes on.
         scene.fleet.mesh.links.borrow_mut().split(2, 3);
         bulletin.tell(false, vec![line(&scene, 1, "draining")]);
         for other in [0, 1] {
@@ -253,7 +255,7 @@
         scene.fleet.mesh.links.borrow_mut().groups.clear();
         scene.fleet.until_figures("it is warned", 2, warned).await;
         assert_eq!(scene.call(2).await, ["s0"]);
-        // Its own list speaks, late, and says otherwise: that counts.
+        // Its own directory answers, late, with another entry: that one counts.
         late.tell(false, vec![line(&scene, 1, "ready")]);
         scene.fleet.until_figures("its own list has spoken", 2, |f| !warned(f)).await;
         assert_eq!(scene.call(2).await, ["s1"]);
@@ -262,9 +264,9 @@
 }
 
 /// All controllers at once at a call server that has just started, three in ten datagrams lost, one controller with far
-/// more calls than the others: it borrows their rights, and the call server stands.
+/// more calls than the others: it borrows their permits, and the call server stands.
 #[test]
-fn a_cold_call_server_under_all_at_once_stands_and_rights_go_where_the_calls_are() {
+fn a_cold_call_server_withstands_all_controllers_and_permits_go_where_the_calls_are() {
     on_one_thread(async {
         println!("seed 9");
         let world = World::default();
@@ -300,7 +302,7 @@
             asked += 1;
             tokio::time::sleep(std::time::Duration::from_millis(10)).await;
             if asked >= 400 && asked.is_multiple_of(50) {
-                let borrowed = scene.fleet.figures(0).await.get("fleet.rights_borrowed_256ths").copied();
+                let borrowed = scene.fleet.figures(0).await.get("fleet.permits_borrowed_256ths").copied();
                 if borrowed > Some(0) {
                     break;
                 }
@@ -321,7 +323,7 @@
 
 /// What an operator sees of the same.
 #[test]
-fn the_tool_shows_what_all_know_and_what_each_sees_itself() {
+fn the_tool_shows_the_fleets_and_the_controllers_own_observations() {
     on_one_thread(async {
         let mut scene = Scene::set(2, 10).await;
         scene.finds_full_for(0, 60_000).await;
@@ -340,10 +342,10 @@
         let json: Value = serde_json::from_str(&tool(true)).expect("JSON");
         let of_s1 = json[0]["servers"].as_array().and_then(|all| all.iter().find(|s| s["host"] == "s1"));
         let of_s1 = of_s1.expect("it knows of s1");
-        assert!(of_s1["wait_ms"].as_u64() >= Some(59_000) && of_s1["by"] == 0, "{of_s1}");
-        assert_eq!(of_s1["own_wait_ms"], Value::Null, "it saw nothing itself");
+        assert!(of_s1["wait_ms"].as_u64() >= Some(59_000) && of_s1["origin"] == 0, "{of_s1}");
+        assert_eq!(of_s1["own_wait_ms"], Value::Null, "it has no observation of its own");
         let table = tool(false);
-        assert!(table.contains("c1  peers heard 1") && table.contains("s1 "), "{table}");
+        assert!(table.contains("c1  peers alive 1") && table.contains("s1 "), "{table}");
         assert!(scene.fleet.stop().await);
     });
 }
@@ -351,7 +353,7 @@
 /// Guards against a verdict that depends on what runs beside: a port that the system gives to others must not be the one
 /// that a controller is to have when it starts again.
 #[test]
-fn nobody_else_is_given_the_port_that_a_killed_controller_comes_back_to() {
+fn the_port_of_a_killed_controller_is_not_given_to_others() {
     on_one_thread(async {
         let mut scene = Scene::set(2, 11).await;
         scene.fleet.kill(1).await;
