A release that overtakes its answer ends the call at its caller at once

At fault: Core::server_releases took a release with no answer before it for a set-up that broke on its way (Outcome::Reset) and let the call be sent again. The protocol knows a release only after an answer: the call stood at A and is over.

Now such a release is the call's end: the caller gets its one final answer, `close` as failed (it ran: trying again is not harmless), the module hears that the attempt broke and the call is over, and nobody else is asked. The late 200 is still ended with a BYE where it came from. The same holds where the release crosses our CANCEL, or comes after the attempt's connection broke: `Open::unsettled` keeps the call servers where the call may stand, until a late answer of theirs is ended. What is out elsewhere is then withdrawn.

Tests that fail without it (seen with the branch in server_releases put back): core `a_release_ahead_of_its_answer_...` (both cases), `a_release_from_where_an_attempt_was_given_up` (cases 1 and 2; case 3 guards the late answer and passes either way), crossings `the_end_of_a_call_ahead_of_its_answer`.

--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -239,12 +239,8 @@
             self.tell_end(s, outcome, &report, out);
             return;
         }
-        let is_out = self.open.get(&sid).and_then(|o| o.out).is_some_and(|o| o.server == server);
-        if is_out {
-            // A release ahead of any answer: the set-up broke.
-            let load = self.load_of(&report);
-            self.attempt_ended(sid, Outcome::Reset, Cause::None, load);
-            self.pump(out);
+        if self.open.get(&sid).is_some_and(|open| open.may_stand_at(server)) {
+            self.released_before_its_answer(server, sid, &report, out);
         } else if !self.book.knows(sid) && !self.open.contains_key(&sid) {
             // Guards against calls left standing at callers by a restart: the name is unknown here, the caller
             // still waits for its release.
@@ -255,6 +251,25 @@
         }
     }
 
+    /// A release has overtaken its answer. Only a call that stood is released, so this one stood and is over: its caller is
+    /// owed a release, and without the answer's description the call cannot be answered. Guards against another attempt
+    /// for a call that has run, while its caller is told of its end too late.
+    fn released_before_its_answer(
+        &mut self,
+        server: ServerId,
+        sid: Sid,
+        report: &Report,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(open) = self.open.get(&sid) else { return };
+        let (call, is_out) = (open.id, open.is_out_at(server));
+        if is_out {
+            let load = self.load_of(report);
+            self.attempt_ended(sid, Outcome::Reset, Cause::None, load);
+        }
+        self.caller_gives_up(call, out);
+    }
+
     /// All calls of a call server are cut.
     pub(super) fn server_died(&mut self, server: ServerId, out: &mut Vec<Effect>) {
         let cut = self.book.standing.iter().filter(|(_, s)| s.server == server);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,7 +15,7 @@
 mod tests;
 pub mod types;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
@@ -149,9 +149,25 @@
     valid_until: Time,
     attempts: u16,
     out: Option<Out>,
+    /// Call servers whose attempt was given up, or broke on its way, after it may have run: the call may stand there, and
+    /// its answer or its release may still come.
+    #[serde(default)]
+    unsettled: BTreeSet<ServerId>,
     not_before: Time,
 }
 
+impl Open {
+    /// Whether an attempt is out at this call server.
+    fn is_out_at(&self, server: ServerId) -> bool {
+        self.out.is_some_and(|out| out.server == server)
+    }
+
+    /// Whether the call may stand at this call server although its answer has not been heard.
+    fn may_stand_at(&self, server: ServerId) -> bool {
+        self.is_out_at(server) || self.unsettled.contains(&server)
+    }
+}
+
 /// A caller's connection or leg that is there.
 #[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 struct Caller {
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -20,10 +20,13 @@
         says: ServerSays,
         out: &mut Vec<Effect>,
     ) {
-        let is_out = self.open.get(&sid).and_then(|o| o.out).is_some_and(|o| o.server == server);
+        let is_out = self.open.get(&sid).is_some_and(|open| open.is_out_at(server));
         match says {
             ServerSays::Answered(body) if is_out => self.stands(sid, body, out),
             ServerSays::Answered(_) => {
+                if let Some(open) = self.open.get_mut(&sid) {
+                    open.unsettled.remove(&server); // it is ended there now
+                }
                 if self.open.contains_key(&sid) || self.book.knows(sid) {
                     // The answer crossed our giving it up: the call must not stay up there. A second copy is dropped.
                     if !self.book.stands_at(sid, server) {
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -80,6 +80,7 @@
         let Some(o) = open.out.take() else { return };
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
             open.not_before = now.plus(release);
+            open.unsettled.insert(o.server);
         }
         let call = open.id;
         self.deadlines.clear(&Due::Attempt(call));
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -1,5 +1,7 @@
 //! Stage 1: a set-up is read against the settings and gets its place in the table.
 
+use std::collections::BTreeSet;
+
 use crate::core::{Client, Core, Due, Effect, FrontKind, Open, SetUp, Sid};
 use crate::figures::Ending;
 use crate::interface::{CallId, Event, NewCall, Number, Span, Time};
@@ -89,7 +91,18 @@
     fn hold(&mut self, sid: Sid, id: CallId, client: Client, class: usize, valid_until: Time, set_up: SetUp) {
         let SetUp { number, body, .. } = set_up;
         let not_before = Time::default();
-        let open = Open { id, client, class, number, body, valid_until, attempts: 0, out: None, not_before };
+        let open = Open {
+            id,
+            client,
+            class,
+            number,
+            body,
+            valid_until,
+            attempts: 0,
+            out: None,
+            unsettled: BTreeSet::new(),
+            not_before,
+        };
         self.held_bytes += open.body.len();
         self.open.insert(sid, open);
         self.clients.entry(client).or_default().owed += 1;
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -203,6 +203,58 @@
     assert_eq!(drive.core.counts().late_answers, 1);
 }
 
+/// Guards against a call that has run and is over while its caller is told nothing of its end: the answer is held up on
+/// its way, the release overtakes it, and another attempt would go out for the call.
+#[rstest]
+#[case::ended_in_order(CAUSE_CLEARED)]
+#[case::cut(CAUSE_CUT)]
+fn a_release_ahead_of_its_answer_is_the_call_s_final_answer(#[case] cause: u16) {
+    let mut drive = Drive::new(3);
+    let server = invited(&drive.open(1, 9_000)).expect("sent");
+    drive.pass(20);
+    let effects = drive.says(server, 1, ServerSays::Released(cause, Report::new()));
+    let failed = |e: &Effect| matches!(e, Effect::Refuse { client: CLIENT, again: false, .. });
+    assert!(matches!(&effects[..], [e] if failed(e)), "{effects:?}");
+    assert_eq!((drive.core.open_calls(), drive.core.standing_calls()), (0, 0));
+    assert!(drive.core.module.in_flight().is_empty());
+    // The answer comes after all: nothing is passed on, and the call does not stay up there.
+    let effects = drive.says(server, 1, answered("late"));
+    assert!(matches!(effects[..], [Effect::Bye(at, ..)] if at == server), "{effects:?}");
+    let later = drive.pass(9_500);
+    assert!(!later.iter().any(|(_, e)| matches!(e, Effect::Invite { .. })), "{later:?}");
+    assert_eq!(finals(later.iter().map(|(_, e)| e)), 0);
+    assert_eq!(drive.core.figures().count("judge-call", Ending::Failed), 1);
+}
+
+/// The same where the attempt has just been given up, and the call is about to go elsewhere or has gone. A late answer
+/// settles it: the call is ended there, and a release that crosses that end says nothing of the call that goes on.
+#[rstest]
+#[case::in_its_rest(100, false)]
+#[case::out_elsewhere(1_000, false)]
+#[case::after_a_late_answer(1_000, true)]
+fn a_release_from_where_an_attempt_was_given_up(#[case] after_ms: u64, #[case] answered_late: bool) {
+    let mut drive = Drive::new(2);
+    let first = invited(&drive.open(1, 9_000)).expect("sent");
+    let mut elsewhere = None;
+    let given_up = (0..900).any(|_| {
+        drive.pass(10);
+        drive.core.open.get(&Sid::numbered(1)).is_some_and(|open| open.unsettled.contains(&first))
+    });
+    assert!(given_up);
+    for (_, effect) in drive.pass(after_ms) {
+        elsewhere = elsewhere.or(invited([&effect]));
+    }
+    assert_eq!(elsewhere.is_some(), after_ms > 500);
+    if answered_late {
+        drive.says(first, 1, answered("late"));
+    }
+    let effects = drive.says(first, 1, ServerSays::Released(CAUSE_CLEARED, Report::new()));
+    assert_eq!(finals(&effects), usize::from(!answered_late), "{effects:?}");
+    let withdrawn = effects.iter().any(|e| matches!(e, Effect::Cancel(at, _) if Some(*at) == elsewhere));
+    assert_eq!(withdrawn, elsewhere.is_some() && !answered_late);
+    assert_eq!(drive.core.module.in_flight().len(), usize::from(answered_late));
+}
+
 #[test]
 fn a_call_whose_caller_lost_its_connection_is_withdrawn_and_one_that_stands_stays() {
     let mut drive = Drive::new(1);
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -751,6 +751,28 @@
     });
 }
 
+/// The end of a call overtakes its answer, which is held up on its way: the call stood and is over. Its caller hears so
+/// at once, nobody else is asked, and the late answer is released where it comes from.
+#[test]
+fn the_end_of_a_call_ahead_of_its_answer() {
+    on_one_thread(async {
+        let world = World::default();
+        let (held_up, other) = (Hand::start("s0").await, Hand::start("s1").await);
+        let (controller, _b) = Controller::with_hands(&world, &[&held_up, &other], |_| {}).await;
+        let (mut wire, _idle) = (held_up.greets().await, other.greets().await);
+        let caller = Caller::connect(&world, "c", controller.at).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        wire.hears("INVITE").await;
+        wire.releases(&name(1), 16).await;
+        assert!(matches!(world.answer(&name(1)).await.what, What::Close(31, _)));
+        wire.answers(&name(1), "late").await;
+        assert_eq!(wire.hears("BYE").await, name(1));
+        tokio::time::sleep(REST * 2).await;
+        let counters = controller.instance.counters();
+        assert_eq!((counters.attempts, counters.standing, finals(&world, &name(1))), (1, 0, 1));
+    });
+}
+
 /// A second answer, some milliseconds after the first, and an answer after the call was over by time-out: one final answer
 /// each, and what stands unasked is released.
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -227,6 +227,13 @@
         ))
         .await;
     }
+    /// A call that stood is over, for this cause.
+    pub async fn releases(&mut self, sid: &str, cause: u16) {
+        self.say(&format!(
+            "BYE sip:peer@net SIP/2.0\r\nCall-ID: {sid}\r\nCSeq: 2 BYE\r\nReason: Q.850;cause={cause}\r\nContent-Length: 0\r\n\r\n"
+        ))
+        .await;
+    }
     /// The process dies: the connection is reset.
     pub fn reset(self) {
         self.stream.set_zero_linger().expect("set");
