Replication: numbered changes and membership that spread by themselves

Need: nothing spreads a change of the settings or of who is a member (docs/CAPACITY.md, first table).

Not wired into the instance yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,6 +86,7 @@
 pub mod net;
 pub mod outages;
 pub mod recovery;
+pub mod replication;
 pub mod rules;
 pub mod secrets;
 pub mod shares;
