Callers give way to call servers' connections, and shares are of what the system grants

Need: idle clients may fill the descriptors while discovery is down; the list, call servers, console and signals keep theirs. Change: Limits::within_system takes the system's limit on the platform's path; Limits::callers_beside reckons with the listed call servers; State::yield_to_links ends the least used callers' connections when connections to call servers are made.

--- a/src/config.rs
+++ b/src/config.rs
@@ -349,7 +349,18 @@
     }
 }
 
+/// Descriptors of the program itself: standard streams, the runtime's, the signals' pipes, doors, the directory's
+/// connection, and one or two for what is only passing.
+const OWN_DESCRIPTORS: usize = 16;
+
 impl Limits {
+    /// No more descriptors than the system grants this process. Guards against shares of descriptors that cannot be had:
+    /// callers would take all there are, and leave none for the directory.
+    fn within_system(self) -> Limits {
+        let granted = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let granted = granted.and_then(|most| usize::try_from(most).ok()).unwrap_or(usize::MAX);
+        Limits { sockets: self.sockets.min(granted), ..self }
+    }
     /// What is left for one process where another may run beside it for a while, and both count together.
     pub fn shared(self) -> Limits {
         Limits { sockets: self.sockets / 2, memory_mb: self.memory_mb / 2 }
@@ -362,6 +373,11 @@
     pub fn callers(&self) -> usize {
         self.sockets.saturating_sub((self.sockets / 4).clamp(8, 128)).max(8)
     }
+    /// The same beside so many call servers that are listed, to each of which a connection is kept up.
+    pub fn callers_beside(&self, servers: usize) -> usize {
+        let others = OWN_DESCRIPTORS + self.operators() + self.links() + servers;
+        self.callers().min(self.sockets.saturating_sub(others)).max(8)
+    }
     /// Operators' calls at once, out of the descriptors that callers do not get.
     pub fn operators(&self) -> usize {
         (self.rest() / 4).max(2)
@@ -391,6 +407,7 @@
     let text =
         std::fs::read(&file).map_err(|e| ConfigError::File { file: file.clone(), why: e.to_string() })?;
     let mut config = parse_platform(&file, &text)?;
+    config.limits = config.limits.within_system();
     if let Some(name) = var("ROUTER_NAME") {
         config.name = name;
     }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -21,7 +21,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
 
-use crate::config::{Iax2Config, InstanceConfig};
+use crate::config::{Iax2Config, InstanceConfig, Limits};
 use crate::core::{Client, Core, Effect, FrontKind, HostLine, Input, Protocol, WirePart, CAUSE_CLEARED};
 use crate::counters::Counters;
 use crate::directory::bulletin::Cursor;
@@ -124,6 +124,7 @@
     ended: Cell<bool>,
     /// Callers' connections that are ended and wait for the other side.
     parting: Cell<usize>,
+    limits: Cell<Limits>,
     pool: Pool,
     /// What may wait to be written to all callers.
     caller_bytes: Budget,
@@ -287,6 +288,9 @@
         let now = self.0.clock.now();
         work(&mut state, &mut todo);
         state.settle(now, &mut todo);
+        if !todo.links.is_empty() {
+            state.yield_to_links(self.0.limits.get(), self.0.parting.get());
+        }
         let after = state.core.deadlines.next_at();
         drop(state);
         if after != before {
--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -6,6 +6,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, JoinHandle};
 
+use crate::config::Limits;
 use crate::core::{Client, FrontKind, Input, WirePart};
 use crate::drain::Door;
 use crate::front::jsonl::{self, Line as Said, LineError};
@@ -61,6 +62,19 @@
 }
 
 impl State {
+    /// How many connections callers may hold beside those to the call servers that are listed.
+    pub(super) fn share_descriptors(&mut self, limits: Limits) {
+        self.guests.set_most(limits.callers_beside(self.core.listed().count()));
+    }
+
+    /// Callers' connections give way to those to call servers, the least used first. Guards against idle connections that
+    /// came while no list was held, and leave a list that comes without descriptors for its call servers.
+    pub(super) fn yield_to_links(&mut self, limits: Limits, parting: usize) {
+        self.share_descriptors(limits);
+        let State { guests, core, .. } = self;
+        while !guests.fits(parting) && guests.make_room(|no| core.carries(client_of(no))) {}
+    }
+
     /// One of a connection's set-ups needs no answer any more; while callers are sent away it may end then.
     pub(super) fn settled(&mut self, no: u64, told: bool, now: Time, todo: &mut Todo) {
         self.guests.settled(no, told, now);
--- a/src/instance/handover.rs
+++ b/src/instance/handover.rs
@@ -178,7 +178,8 @@
         let mut state = self.0.state.borrow_mut();
         let state = &mut *state;
         state.core = held.core.resume(config.core.clone());
-        state.guests = held.guests.resume(limits.callers(), &self.0.caller_bytes);
+        let callers = limits.callers_beside(state.core.listed().count());
+        state.guests = held.guests.resume(callers, &self.0.caller_bytes);
         state.next_client = held.next_client;
         let stands = |no: u64| lines.contains_key(&(Side::Server, no));
         let sip = held.sip.resume(&self.0.server_bytes, limits.links(), stands);
--- a/src/instance/open.rs
+++ b/src/instance/open.rs
@@ -167,6 +167,7 @@
             outages: RefCell::default(),
             ended: Cell::new(false),
             parting: Cell::new(0),
+            limits: Cell::new(limits),
             pool: Pool::new(limits.buffers()),
             caller_bytes,
             server_bytes,
--- a/src/instance/reload.rs
+++ b/src/instance/reload.rs
@@ -67,10 +67,11 @@
                 Ok(key) => state.callers.examine(config.secrets.users.as_ref(), key),
                 Err(error) => tracing::error!(%error, "users stay as they were"),
             }
-            state.guests.set_most(config.limits.callers());
+            state.share_descriptors(config.limits);
             state.sip.set_most_links(config.limits.links());
             state.tally.reloads += 1;
         }
+        self.0.limits.set(config.limits);
         self.0.connect_timeout.set(Duration::from_micros(config.connect_timeout.0));
         let now = self.0.clock.now();
         self.turn(|state, todo| {
--- a/src/net/guests.rs
+++ b/src/net/guests.rs
@@ -124,6 +124,10 @@
     pub fn has_room(&self, parting: usize) -> bool {
         self.connections.len() + parting < self.most
     }
+    /// Whether there is room for those that are there.
+    pub fn fits(&self, parting: usize) -> bool {
+        self.connections.len() + parting <= self.most
+    }
     /// A connection came; when to look at it first.
     pub fn add(&mut self, no: u64, queue: Rc<WriteQueue>, now: Time) -> Time {
         let guest = Guest {
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -63,6 +63,12 @@
     let limits = Limits { sockets, memory_mb };
     // Callers hold at most a third; the rest of their share is for those who hold more than that.
     assert!(limits.callers() > sockets / 3 && limits.callers() + limits.links() < sockets);
+    // Beside many call servers callers have less, and all shares together leave some for the program itself.
+    for servers in [0, 24, 40] {
+        let callers = limits.callers_beside(servers);
+        assert!(callers > sockets / 3 && callers <= limits.callers());
+        assert!(callers + servers + limits.links() + limits.operators() < sockets - 8);
+    }
     // Four such shares: buffers, descriptions, and what waits on either side.
     assert!(4 * limits.eighth() <= (memory_mb << 20) / 2 && limits.buffers() * 16_640 <= limits.eighth());
     assert!(limits.calls(20_000) * 1_024 <= limits.eighth() && limits.calls(10) == 10);
