Start to ready of 30 processes at once, with discovery down, slow, silent or refused

Checked: the list of the start in the configuration is taken before the bulletin is asked, so nothing had to be mended. tests/readiness.rs starts 30 real processes at once in each of the four states and bounds nine in ten at 6 s; it was not tried against broken code.

--- /dev/null
+++ b/tests/readiness.rs
@@ -0,0 +1,143 @@
+//! How soon restarted processes are ready, whatever state discovery is in. The controllers are the real program, many of them
+//! started at once, each with the list of its start in its configuration.
+
+#[path = "support/platform.rs"]
+mod platform;
+mod support;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use platform::{free_address, Platform};
+use serde_json::{json, Value};
+use support::{name, on_one_thread, settings, Hand};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, JoinHandle};
+
+/// Processes started at once.
+const PROCESSES: usize = 30;
+/// Nine in ten are ready within this, where the day ends soon.
+const READY_WITHIN: Duration = Duration::from_secs(6);
+/// A discovery that is slow answers this late: beyond the time that an answer is waited for.
+const SLOW: Duration = Duration::from_secs(4);
+
+/// What becomes of those who turn to discovery.
+#[derive(Debug, Clone, Copy)]
+enum Discovery {
+    /// Its machine is gone: connections never come up.
+    Down,
+    /// It answers late.
+    Slow,
+    /// It accepts and says nothing.
+    Silent,
+    /// Nobody listens there.
+    Refused,
+}
+
+/// Where discovery is, and what keeps it in its state.
+struct Place {
+    at: SocketAddr,
+    serving: Option<JoinHandle<()>>,
+    _full: Option<(Hand, Vec<std::net::TcpStream>)>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if let Some(serving) = self.serving.take() {
+            serving.abort();
+        }
+    }
+}
+
+async fn place(discovery: Discovery) -> Place {
+    match discovery {
+        Discovery::Refused => Place { at: free_address(), serving: None, _full: None },
+        Discovery::Down => {
+            let full = Hand::full("discovery").await;
+            Place { at: full.0.at, serving: None, _full: Some(full) }
+        }
+        Discovery::Slow | Discovery::Silent => {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let at = listener.local_addr().expect("an address");
+            let answers = matches!(discovery, Discovery::Slow);
+            let serving = spawn_local(async move {
+                let mut kept = Vec::new();
+                while let Ok((stream, _)) = listener.accept().await {
+                    match answers {
+                        true => drop(spawn_local(answers_late(stream))),
+                        false => kept.push(stream),
+                    }
+                }
+            });
+            Place { at, serving: Some(serving), _full: None }
+        }
+    }
+}
+
+async fn answers_late(mut stream: TcpStream) {
+    let mut asked = [0; 1_024];
+    while stream.read(&mut asked).await.is_ok_and(|read| read > 0) {
+        tokio::time::sleep(SLOW).await;
+        let body = json!({"no": 1, "items": []}).to_string();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Whether the test that the front makes passes.
+async fn test_passes(at: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(at).await else { return false };
+    let probe = json!({"msg": "probe", "sid": name(9_999), "attrs": {}, "code": 0});
+    if stream.write_all(format!("{probe}\n").as_bytes()).await.is_err() {
+        return false;
+    }
+    let mut bytes = [0; 256];
+    let read = tokio::time::timeout(Duration::from_secs(1), stream.read(&mut bytes)).await;
+    let read = read.ok().and_then(Result::ok).unwrap_or(0);
+    std::str::from_utf8(&bytes[..read]).is_ok_and(|text| text.contains("\"code\":1"))
+}
+
+async fn ready_after(at: SocketAddr, started: Instant) -> Duration {
+    while started.elapsed() < 2 * READY_WITHIN && !test_passes(at).await {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    started.elapsed()
+}
+
+fn config_of(discovery: SocketAddr, hosts: &[Value]) -> Value {
+    let event = json!({"no": 1, "roster": {"seq": 1, "whole": true, "hosts": hosts}});
+    json!({"bulletin": discovery.to_string(), "known": {"no": 1, "items": [event]}, "settings": settings(30)})
+}
+
+/// Guards against a start that waits for a discovery which does not answer.
+#[test]
+fn nine_in_ten_of_thirty_processes_started_at_once_are_ready_whatever_discovery_does() {
+    on_one_thread(async {
+        let server = Hand::start("s0").await;
+        for discovery in [Discovery::Down, Discovery::Slow, Discovery::Silent, Discovery::Refused] {
+            let place = place(discovery).await;
+            let config = config_of(place.at, &[server.host(0, "ready")]);
+            let (mut processes, mut waits) = (Vec::new(), Vec::new());
+            for n in 0..PROCESSES {
+                let started = Instant::now();
+                let process = Platform::start(&format!("ready-{discovery:?}-{n}"), &config, None);
+                waits.push(spawn_local(ready_after(process.at, started)));
+                processes.push(process);
+            }
+            let mut ready = Vec::new();
+            for wait in waits {
+                ready.push(wait.await.expect("no panic"));
+            }
+            ready.sort();
+            let (median, ninth, most) =
+                (ready[PROCESSES / 2], ready[PROCESSES * 9 / 10 - 1], ready[PROCESSES - 1]);
+            println!(
+                "{discovery:?}: {PROCESSES} processes, p50 {median:?}, nine in ten {ninth:?}, max {most:?}"
+            );
+            assert!(ninth < READY_WITHIN, "{discovery:?}: {ready:?}");
+        }
+    });
+}
