--- a/crates/lockpoint-lab/src/fleet/mod.rs
+++ b/crates/lockpoint-lab/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Fleets of controllers under faults: the very code that tells them what the others saw, on driven time.
 
 pub mod cold;
+pub mod cold_budget;
 pub mod crash;
 pub mod driven;
 pub mod limits;
--- a/crates/lockpoint-lab/src/main.rs
+++ b/crates/lockpoint-lab/src/main.rs
@@ -9,7 +9,7 @@
 
 use clap::{Parser, Subcommand};
 use lockpoint_lab::experiment::Experiment;
-use lockpoint_lab::fleet::{crash, limits};
+use lockpoint_lab::fleet::{cold_budget, crash, limits};
 use lockpoint_lab::results::Outcome;
 use lockpoint_lab::run::{run, Show};
 use lockpoint_lab::under_test::{beside, LabError};
@@ -62,6 +62,8 @@
     Bench(bench::Options),
     /// Measure how stale fleet-wide verdicts are under seeded faults; ends with `N passed, N failed`.
     FleetLimits(limits::Options),
+    /// Hold what the whole fleet sends a cold call server against its budget; ends with `N passed, N failed`.
+    ColdBudget(cold_budget::Options),
     /// Power losses of real controllers.
     #[command(subcommand)]
     Crash(crash::Crash),
@@ -85,6 +87,7 @@
             Commands::Demo { config, out, seconds } => shown(&demo::run(&config, seconds).await?, &out),
             Commands::Bench(options) => bench::run(&options).await.map(|()| true),
             Commands::FleetLimits(options) => limits::run(&options).await,
+            Commands::ColdBudget(options) => cold_budget::run(&options),
             Commands::Crash(crash) => crash::run(&crash).await,
             Commands::Relay(options) => relay::run(&options).await.map(|()| true),
         }
