--- a/src/mechanics.rs
+++ b/src/mechanics.rs
@@ -1,11 +1,11 @@
 //! Small helpers of the decisions that decide nothing: every time and number is passed in.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
-use rand_core::RngCore;
 use serde::{Deserialize, Serialize};
 
 use crate::interface::{Span, Time, Token};
+use crate::window::Window;
 
 /// What timers that were set are for.
 #[derive(Debug, Serialize, Deserialize)]
@@ -53,35 +53,21 @@
 /// A rate is reckoned over no less than this: fewer calls tell nothing of it.
 const RATE_FROM: Span = Span::from_millis(3_000);
 
-/// What servers take in usual times, in calls a second for each unit of their size: the most that was seen. Guards
-/// against a ramp that starts from the little that stands in the midst of a trouble. Each accept is weighed by the size
-/// of all servers at its own time: a rate divided by the size of now would rise as soon as servers leave.
+/// What servers take in usual times, in calls a second for each of mean size: the most that was seen. Guards against a
+/// ramp that starts from the little that stands in the midst of a trouble.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct UsualRate {
     span: Span,
-    /// Accepts within the span, each over the size of all servers then, and their sum.
-    taken: VecDeque<(Time, f64)>,
-    sum: f64,
+    /// Accepts of all servers together.
+    taken: Window,
     most: f64,
-    unit: SizeUnit,
     began: Option<Time>,
 }
 
-/// What the sizes of servers are measured in.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-enum SizeUnit {
-    /// Each server counts as one: none has told its lines.
-    #[default]
-    Servers,
-    /// Lines.
-    Lines,
-}
-
 impl UsualRate {
     /// Nothing seen yet; a rate is reckoned over the last `span`.
     pub fn new(span: Span) -> Self {
-        let unit = SizeUnit::default();
-        Self { span, taken: VecDeque::new(), sum: 0.0, most: 0.0, unit, began: None }
+        Self { span, taken: Window::new(span), most: 0.0, began: None }
     }
 
     /// Whether this is the first moment that there is.
@@ -91,50 +77,27 @@
         first
     }
 
-    /// A call was taken; `size`: of all servers that take calls, in servers of mean size; `lines`: of a server of mean
-    /// size, where told. What was seen in another unit is void.
-    pub fn took(&mut self, now: Time, size: f64, lines: Option<f64>) {
-        let unit = if lines.is_some() { SizeUnit::Lines } else { SizeUnit::Servers };
-        let size = size * lines.unwrap_or(1.0);
-        if unit != self.unit {
-            self.taken.clear();
-            (self.sum, self.most, self.unit) = (0.0, 0.0, unit);
-        }
-        if size <= 0.0 {
-            return;
-        }
-        self.taken.push_back((now, 1.0 / size));
-        self.sum += 1.0 / size;
-        self.forget(now);
-        if self.passed(now) > RATE_FROM {
-            self.most = self.most.max(self.per_second(self.sum, now));
+    /// A call was taken; `size`: of all servers that take calls, in those of mean size.
+    pub fn took(&mut self, now: Time, size: f64) {
+        self.taken.add(now, 0, 1);
+        let passed = self.passed(now);
+        if size > 0.0 && passed > RATE_FROM {
+            let rate = f64::from(self.taken.counts(now).1) / passed.secs();
+            self.most = self.most.max(rate / size);
         }
     }
 
-    /// The usual rate of a server of mean size, if calls were taken for long enough to tell.
-    pub fn known(&self, lines: Option<f64>) -> Option<f64> {
-        (self.most > 0.0).then_some(self.most * lines.unwrap_or(1.0))
-    }
-
-    /// The rate of the calls that a server of mean size took within the span, however few.
-    pub fn taken_rate(&mut self, now: Time, lines: Option<f64>) -> f64 {
-        self.forget(now);
-        self.per_second(self.sum, now) * lines.unwrap_or(1.0)
-    }
-
-    /// So many within the span, as a rate.
-    pub fn per_second(&self, within: f64, now: Time) -> f64 {
-        within / self.passed(now).max(RATE_FROM).secs()
+    /// Whether calls were taken for long enough to tell.
+    pub fn is_known(&self) -> bool {
+        self.most > 0.0
     }
 
-    fn forget(&mut self, now: Time) {
-        while let Some(&(_, weight)) = self.taken.front().filter(|(at, _)| now.since(*at) >= self.span) {
-            self.sum -= weight;
-            self.taken.pop_front();
-        }
-        if self.taken.is_empty() {
-            self.sum = 0.0; // no rounding is left over
+    /// The rate; from the calls that came within the span while none was taken.
+    pub fn rate(&self, now: Time, came: f64, size: f64) -> f64 {
+        if self.is_known() {
+            return self.most;
         }
+        came / self.passed(now).max(RATE_FROM).secs() / size.max(1.0)
     }
 
     /// What of the span has passed since the start.
@@ -142,18 +105,3 @@
         now.since(self.began.unwrap_or(now)).min(self.span)
     }
 }
-
-/// The mean of the lines that are told; `None`: none are.
-pub fn mean_told(lines: impl Iterator<Item = f64>) -> Option<f64> {
-    let told = lines.filter(|&lines| lines > 0.0);
-    let (sum, servers) = told.fold((0.0, 0.0), |(sum, servers), lines| (sum + lines, servers + 1.0));
-    (servers > 0.0).then(|| sum / servers)
-}
-
-/// Puts the items in a drawn order.
-pub fn shuffle<T>(items: &mut [T], rng: &mut impl RngCore) {
-    for at in (1..items.len()).rev() {
-        let other = (rng.next_u32() as usize) % (at + 1);
-        items.swap(at, other);
-    }
-}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,7 +12,7 @@
 
 use std::collections::BTreeMap;
 
-use rand_core::SeedableRng;
+use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use serde::{Deserialize, Serialize};
 
@@ -23,12 +23,13 @@
     NewCall, Number, Outcome, Parts, RepeatGroup, Repeats, ServerEntry, ServerId, ServerState, Settings,
     Span, Time, Token,
 };
-use crate::mechanics::{mean_told, shuffle, Seldom, Timers, UsualRate};
+use crate::mechanics::{Seldom, Timers, UsualRate};
 use crate::shares::Shares;
 use crate::window::{ByRank, Window};
 
-/// Cutoff factor K; the document's example has 1.5. Lower: cuts at noise. Higher (1.5 and 2 were tried): the
-/// wait at the balance is longer, the answer to a growing wait steeper, and all gateways swing together.
+/// Cutoff factor K; the document's example has 1.5. Lower: cuts at noise. Higher (1.5 and 2 were
+/// tried): the wait at the balance is longer, the answer to a growing wait steeper, and all gateways
+/// swing together.
 const CUTOFF: f64 = 1.3;
 /// Window of the counts. Four and ten seconds let refusals of a trouble that has passed feed new ones,
 /// all the more as each refused caller dials again; much less counts noise.
@@ -56,8 +57,9 @@
 const WATCHED_BY: f64 = 10.0;
 /// A usual rate under this many calls a second is read as this.
 const RATE_LEAST: f64 = 0.1;
-/// After that a wait shrinks by this much a second while nothing newer is known: a queue that gets nothing
-/// drains by one second a second. Lower: stays away for long. Higher: returns before the queue is gone.
+/// After that a wait shrinks by this much a second while nothing newer is known: a queue that gets
+/// nothing drains by one second a second. Lower: stays away for long. Higher: returns before the queue
+/// is gone.
 const WAIT_FADES: f64 = 1.0;
 /// A server that has answered nothing for this share of the shortest aim, with a set-up of that age
 /// out, is silent. Lower: slow servers look silent. Higher: more calls are lost into a dead one.
@@ -148,11 +150,12 @@
 
 impl Server {
     fn new(entry: ServerEntry, now: Time, out_of_turn: Span) -> Self {
+        let nothing = Span::default();
         Self {
             entry,
             counts: Window::new(WINDOW),
             out: Vec::new(),
-            wait: (Span::default(), entry.started),
+            wait: (nothing, entry.started),
             answered: Time::default(),
             heard: now,
             silent: false,
@@ -211,7 +214,8 @@
     stage: Stage,
     attempts: u32,
     tried: Vec<ServerId>,
-    /// The draw of this call, 0 to 1: one for all servers, or the chances of passing somewhere would add up.
+    /// The draw of this call, 0 to 1: one for all servers, or the chances of passing somewhere would
+    /// add up.
     draw: f64,
     /// Where and when an attempt first may have run.
     may_have_run: Option<(ServerId, Time)>,
@@ -245,7 +249,7 @@
     numbers: BTreeMap<Number, Window>,
     /// Calls by rank of worth, to know what share a cut in the lowest would be.
     demand: ByRank,
-    /// Calls a second that servers take from this gateway in usual times, for each unit of their size.
+    /// Calls a second that a server of mean size takes from this gateway in usual times.
     usual: UsualRate,
     /// What of the calls that are taken each tenant may have.
     shares: Shares,
@@ -260,8 +264,8 @@
     /// A controller that knows nothing but its settings. The same seed and events give the same actions.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let shortest_aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or_default();
+        let shares = Shares::of(&settings.shares);
         Self {
-            shares: Shares::of(&settings.shares),
             settings,
             rng: Pcg32::seed_from_u64(seed),
             now: Time::default(),
@@ -273,6 +277,7 @@
             numbers: BTreeMap::new(),
             demand: ByRank::new(LONG_WINDOW),
             usual: UsualRate::new(LONG_WINDOW),
+            shares,
             lacked: Vec::new(),
             logged: Seldom::default(),
         }
@@ -302,8 +307,8 @@
             Event::Seen { server, wait, silent, at } => self.heard_of(server, wait, silent, at),
             Event::Asked { from, server, parts } => self.lend(from, server, parts, actions),
             Event::Lent { server, parts } => {
-                if let Some(bucket) = self.servers.get_mut(&server).and_then(|s| s.rights.as_mut()) {
-                    bucket.borrow(parts);
+                if let Some(purse) = self.servers.get_mut(&server).and_then(|s| s.rights.as_mut()) {
+                    purse.borrow(parts);
                 }
             }
             Event::Mail { from: _, data: _ } => {} // what peers see comes as `Seen`
@@ -400,7 +405,10 @@
         if let Some(server) = first.filter(|&server| self.passes(server, call)) {
             return Some(server);
         }
-        shuffle(&mut order, &mut self.rng);
+        for at in (1..order.len()).rev() {
+            let other = (self.rng.next_u32() as usize) % (at + 1);
+            order.swap(at, other);
+        }
         order.sort_by_key(|&s| self.kept != Some(s)); // stable: the kept one first, the rest as drawn
         let taker = order.into_iter().find(|&server| self.passes(server, call));
         if let (None, true, Some(server)) = (taker, first_try, first) {
@@ -535,7 +543,11 @@
     fn worth_now(&self, call: &NewCall) -> f64 {
         let Some(class) = self.settings.classes.get(call.class) else { return 0.0 };
         let worth = if call.redialled { class.worth * class.late_worth } else { class.worth };
-        Some(worth).filter(|worth| worth.is_finite()).unwrap_or(0.0)
+        if worth.is_finite() {
+            worth
+        } else {
+            0.0
+        }
     }
 
     /// By how much more than the patience this gateway's own calls to a server are apart, in shortest
@@ -590,8 +602,8 @@
         if !is_cold && (!diverted || self.unwatched() == 0.0 || self.speak(CALM_FROM)) {
             return true;
         }
-        let Some((bucket, rate, lapse)) = self.rights_come(id, first) else { return false };
-        let short = if is_cold { lapse * spare } else { 0.0 } - bucket.available();
+        let Some((purse, rate, lapse)) = self.rights_come(id, first) else { return false };
+        let short = if is_cold { lapse * spare } else { 0.0 } - purse.available();
         if is_cold && short > 0.0 {
             self.lacked.push(Action::Lack { server: id, parts: Parts::of(short) });
         }
@@ -604,8 +616,8 @@
         let Settings { cold, cold_share, overload_factor: multiple, .. } = self.settings;
         let share = cold_share.clamp(0.0, 1.0);
         let safe = COLD_SAFE * if multiple > 0.0 { multiple } else { 1.0 } / (1.0 + COLD_LAPSE);
+        let usual = self.usual_rate() * self.size(id);
         let is_cold = self.servers.get(&id).is_some_and(|s| self.is_cold(s));
-        let usual = if is_cold { self.usual_when_cold() } else { self.usual_rate() } * self.size(id);
         let warm_push = WARM_PUSH / self.unwatched();
         let server = self.servers.get_mut(&id)?;
         let rate = if is_cold {
@@ -615,9 +627,9 @@
             usual * warm_push
         };
         let lapse = rate * COLD_LAPSE * self.settings.overload_time.max(self.shortest_aim).secs();
-        let bucket = server.rights.get_or_insert(TokenBucket::new(first, now));
-        bucket.refill(now, rate, lapse, || self.rng.exponential());
-        Some((*bucket, rate, lapse))
+        let purse = server.rights.get_or_insert(TokenBucket::new(first, now));
+        purse.refill(now, rate, lapse, || self.rng.exponential());
+        Some((*purse, rate, lapse))
     }
 
     /// Another gateway lacks rights to a cold server: it gets what is not needed here.
@@ -625,14 +637,14 @@
         if self.servers.get(&id).is_some_and(|s| self.is_cold(s)) {
             let first = -self.rng.exponential();
             self.rights_come(id, first);
-            let bucket = self.servers.get_mut(&id).and_then(|s| s.rights.as_mut());
-            actions.extend(bucket.map(|p| Action::Lend { to, server: id, parts: p.lend(wanted) }));
+            let purse = self.servers.get_mut(&id).and_then(|s| s.rights.as_mut());
+            actions.extend(purse.map(|p| Action::Lend { to, server: id, parts: p.lend(wanted) }));
         }
     }
 
     /// The rights held to send to a cold server, in calls; `None`: it needs none.
     pub fn rights(&self, id: ServerId) -> Option<f64> {
-        self.servers.get(&id).filter(|s| self.is_cold(s))?.rights.map(|bucket| bucket.available())
+        self.servers.get(&id).filter(|s| self.is_cold(s))?.rights.map(|purse| purse.available())
     }
 
     /// A call was sent: a right, or a test of a silent server, is used up.
@@ -641,49 +653,29 @@
         let spent = diverted || self.servers.get(&id).is_some_and(|s| self.is_cold(s));
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.test_at = test_at;
-        if let Some(bucket) = server.rights.as_mut().filter(|_| spent) {
-            bucket.consume(gap);
+        if let Some(purse) = server.rights.as_mut().filter(|_| spent) {
+            purse.consume(gap);
         }
     }
 
-    /// What a server of mean size usually gets here; from what comes in while too little has stood to tell,
-    /// as after a restart.
+    /// What is usual here; from what comes in while nothing has stood yet, as after a restart.
     fn usual_rate(&mut self) -> f64 {
-        if let Some(rate) = self.usual.known(self.mean_lines()) {
-            return rate.max(RATE_LEAST);
-        }
-        let came = self.demand.around(self.now, 0.0).2 / self.ready_size().max(1.0);
-        self.usual.per_second(came, self.now).max(RATE_LEAST)
-    }
-
-    /// The same for a cold server: while a warm one takes calls, only what was taken counts. Guards against a
-    /// restarted gateway that reads refused callers who dial again as what is usual.
-    fn usual_when_cold(&mut self) -> f64 {
-        let warm = |s: &Server| s.entry.state == ServerState::Ready && !self.is_cold(s);
-        let lines = self.mean_lines();
-        if self.usual.known(lines).is_some() || !self.servers.values().any(warm) {
-            return self.usual_rate();
-        }
-        self.usual.taken_rate(self.now, lines).max(RATE_LEAST)
+        let came = self.demand.around(self.now, 0.0).2;
+        let size = if self.usual.is_known() { 0.0 } else { self.ready_size() };
+        self.usual.rate(self.now, came, size).max(RATE_LEAST)
     }
 
     fn ready_size(&self) -> f64 {
-        self.size_of_ready(|_| true)
-    }
-
-    fn size_of_ready(&self, which: impl Fn(&&Server) -> bool) -> f64 {
-        let ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready);
-        ready.filter(which).map(|s| self.size_of(s)).sum()
+        let ready = |s: &&Server| s.entry.state == ServerState::Ready;
+        self.servers.values().filter(ready).map(|s| self.size_of(s)).sum()
     }
 
     /// A server's size against the others': its lines, which were laid out for the calls it was planned
     /// to carry; the mean of the others where it is not told.
     fn size_of(&self, server: &Server) -> f64 {
-        server.lines.filter(|&l| l > 0.0).zip(self.mean_lines()).map_or(1.0, |(lines, mean)| lines / mean)
-    }
-
-    fn mean_lines(&self) -> Option<f64> {
-        mean_told(self.servers.values().filter_map(|s| s.lines))
+        let told: Vec<f64> = self.servers.values().filter_map(|s| s.lines).filter(|&l| l > 0.0).collect();
+        let mean = if told.is_empty() { 1.0 } else { told.iter().sum::<f64>() / told.len() as f64 };
+        server.lines.filter(|&l| l > 0.0).unwrap_or(mean) / mean
     }
 
     fn size(&self, id: ServerId) -> f64 {
@@ -736,7 +728,8 @@
     fn speak(&self, share: f64) -> bool {
         let patience = self.patience();
         let speaks = |s: &&Server| !s.silent && !s.unanswered(patience, self.now);
-        self.size_of_ready(speaks) > share * self.ready_size()
+        let ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready);
+        ready.filter(speaks).map(|s| self.size_of(s)).sum::<f64>() > share * self.ready_size()
     }
 
     fn reserve(&self) -> Span {
@@ -758,8 +751,10 @@
         }
         let silent_from = self.patience();
         let lost = |s: &Server| s.out.iter().any(|o| o.call == id && s.lost(o));
-        let known = self.servers.get(&server);
-        let dead = known.is_none_or(|s| s.silent || lost(s) || s.unanswered(silent_from, self.now));
+        let dead = self
+            .servers
+            .get(&server)
+            .is_none_or(|s| s.silent || lost(s) || s.unanswered(silent_from, self.now));
         let others = self
             .candidates(call)
             .into_iter()
@@ -788,7 +783,7 @@
         let in_good_time = took <= self.shortest_aim.share(PRESSED_TO);
         self.count(server, 1, u32::from(in_good_time));
         let size = self.ready_size();
-        self.usual.took(self.now, size, self.mean_lines());
+        self.usual.took(self.now, size);
         let in_a_window = self.usual_rate() * size * WINDOW.secs();
         self.shares.taken(in_a_window);
         let Some(call) = self.calls.remove(&id) else { return };
@@ -905,16 +900,19 @@
         let fleet = self.usual_rate() * f64::from(self.settings.gateways.max(1)) * self.size(id);
         let Some(server) = self.servers.get_mut(&id) else { return };
         for (field, &value) in self.settings.load_fields.iter().zip(&load.0) {
-            let Some(value) = Some(f64::from(value)).filter(|v| v.is_finite() && *v >= 0.0) else { continue };
             match field {
-                LoadField::Circuits => server.lines = Some(value),
-                LoadField::Pending => {
-                    let wait = Span::from_secs(value / fleet);
+                LoadField::Circuits if value.is_finite() && value >= 0.0 => {
+                    server.lines = Some(f64::from(value))
+                }
+                LoadField::Pending if value.is_finite() && value >= 0.0 => {
+                    let wait = Span::from_secs(f64::from(value) / fleet);
                     if wait > server.wait.0 || value < 1.0 {
                         server.wait = (wait, now);
                     }
                 }
-                LoadField::Wait => server.wait = (Span((value * 1e3) as u64), now),
+                LoadField::Wait if value.is_finite() && value >= 0.0 => {
+                    server.wait = (Span((f64::from(value) * 1e3) as u64), now);
+                }
                 _ => {}
             }
         }
--- a/src/takeover.rs
+++ b/src/takeover.rs
@@ -28,7 +28,7 @@
 };
 
 /// Of the frames and of what is handed over. A process of another version takes nothing over.
-const VERSION: u8 = 4;
+const VERSION: u8 = 3;
 const MARK: [u8; 2] = *b"LP";
 /// The longest frame.
 const MOST_BYTES: usize = 16 << 20;
