Scale run: a first version in simulated time

Need: nothing showed how the control traffic behaves from 50 to 1,400 controllers under faults. Changed: `lockpoint-lab scale` with hollow controllers, call servers, directories and links in simulated time, seven faults by seed, a table and a chart.

--- a/crates/lockpoint-lab/src/lib.rs
+++ b/crates/lockpoint-lab/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod resolver;
 pub mod results;
 pub mod run;
+pub mod scale;
 pub mod sip;
 pub mod under_test;
 pub mod world;
--- a/crates/lockpoint-lab/src/main.rs
+++ b/crates/lockpoint-lab/src/main.rs
@@ -14,7 +14,7 @@
 use lockpoint_lab::run::{run, Show};
 use lockpoint_lab::under_test::{beside, LabError};
 use lockpoint_lab::world::on_one_thread;
-use lockpoint_lab::{bench, demo, relay};
+use lockpoint_lab::{bench, demo, relay, scale};
 
 /// Experiments and measurements around lockpoint, on loopback addresses only.
 #[derive(Debug, Parser)]
@@ -62,6 +62,8 @@
     Bench(bench::Options),
     /// Measure how stale fleet-wide verdicts are under seeded faults; ends with `N passed, N failed`.
     FleetLimits(limits::Options),
+    /// Measure the control traffic of a large fleet under faults; ends with `N passed, N failed`.
+    Scale(scale::Options),
     /// Power losses of real controllers.
     #[command(subcommand)]
     Crash(crash::Crash),
@@ -85,6 +87,7 @@
             Commands::Demo { config, out, seconds } => shown(&demo::run(&config, seconds).await?, &out),
             Commands::Bench(options) => bench::run(&options).await.map(|()| true),
             Commands::FleetLimits(options) => limits::run(&options).await,
+            Commands::Scale(options) => scale::run(&options, None).await,
             Commands::Crash(crash) => crash::run(&crash).await,
             Commands::Relay(options) => relay::run(&options).await.map(|()| true),
         }
--- /dev/null
+++ b/crates/lockpoint-lab/src/scale/run.rs
@@ -0,0 +1,230 @@
+//! A scale run: the memory of each size first, alone; then all faults of all sizes, a few at once.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use lockpoint::interface::Span;
+use rustix::time::{clock_gettime, ClockId};
+
+use super::bounds::Check;
+use super::chart::write_svg;
+use super::control_plane::MakeControlPlane;
+use super::options::Options;
+use super::report::{markdown, verdict, write_csv, Centre, Known, Mode, Row};
+use super::scenario::{script, Fault, Fleet, WARM_UP};
+use super::services;
+use super::simulation::{Simulation, SimulationConfig};
+use super::spread::{Delays, Spread};
+use super::topology::Topology;
+use super::traffic::{MeanMax, Traffic};
+use crate::under_test::{used, LabError};
+
+/// One simulation to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Job {
+    controllers: u16,
+    fault: Fault,
+}
+
+/// Processor time of this thread.
+fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(u64::try_from(time.tv_sec).unwrap_or(0), u32::try_from(time.tv_nsec).unwrap_or(0))
+}
+
+/// What a fleet of this size consists of.
+pub fn simulation_config(
+    options: &Options,
+    controllers: u16,
+    make_control_plane: Option<MakeControlPlane>,
+) -> SimulationConfig {
+    let servers = options.servers_for(controllers);
+    SimulationConfig {
+        controllers,
+        servers,
+        services: services::draw(options.services_for(controllers), servers, options.seed),
+        topology: Topology { regions: options.regions, zones: options.zones },
+        calls_per_controller: options.calls,
+        seed: options.seed,
+        make_control_plane,
+    }
+}
+
+fn merged<'a>(spreads: impl Iterator<Item = &'a Spread>) -> Known {
+    let mut delays = Delays::default();
+    spreads.for_each(|spread| delays.merge(spread.delays()));
+    if delays.is_empty() {
+        Known::NotAsked
+    } else {
+        Known::After(delays)
+    }
+}
+
+/// Runs one size with one fault and measures it.
+pub fn measure(
+    options: &Options,
+    controllers: u16,
+    fault: Fault,
+    make_control_plane: Option<MakeControlPlane>,
+) -> Row {
+    let config = simulation_config(options, controllers, make_control_plane);
+    let has_sources = config.make_control_plane.is_some();
+    let fleet = Fleet { controllers, servers: config.servers, topology: config.topology, has_sources };
+    let measured = Span::from_secs(options.seconds);
+    let mut simulation = Simulation::new(config);
+    for (offset, action) in script(fault, fleet, measured, options.seed) {
+        simulation.act_at(simulation.began().plus(offset), action);
+    }
+    simulation.run_until(simulation.began().plus(WARM_UP));
+    let start = Snapshot::take(&simulation);
+    let end = simulation.now.plus(measured);
+    simulation.run_until(end);
+    start.row(&simulation, fault, options.seconds, has_sources)
+}
+
+/// The counts at the beginning of the measurement.
+struct Snapshot {
+    traffic: Vec<Traffic>,
+    control_time: Vec<Duration>,
+    directory_bytes: Vec<u64>,
+    thread_time: Duration,
+    began: Instant,
+}
+
+impl Snapshot {
+    fn take(simulation: &Simulation) -> Snapshot {
+        Snapshot {
+            traffic: simulation.traffic.clone(),
+            control_time: simulation.control_time(),
+            directory_bytes: simulation.directories.bytes_out.clone(),
+            thread_time: thread_time(),
+            began: Instant::now(),
+        }
+    }
+
+    /// The share of the time passed that this thread was on a processor: others use the machine too.
+    fn on_processor(&self) -> f64 {
+        let passed = self.began.elapsed().as_secs_f64().max(1e-9);
+        ((thread_time() - self.thread_time).as_secs_f64() / passed).min(1.0)
+    }
+
+    fn row(&self, simulation: &Simulation, fault: Fault, seconds: f64, has_sources: bool) -> Row {
+        let controllers = usize::from(simulation.controllers());
+        let on_processor = self.on_processor();
+        let since: Vec<Traffic> = simulation.traffic.iter().zip(&self.traffic).map(|(n, e)| n.since(e)).collect();
+        let rate = |figure: fn(&Traffic) -> u64| {
+            MeanMax::of(since.iter().take(controllers).map(|traffic| figure(traffic) as f64 / seconds))
+        };
+        let control = simulation.control_time();
+        let shares = control.iter().zip(&self.control_time);
+        let shares = shares.map(|(now, earlier)| (*now - *earlier).as_secs_f64() * on_processor / seconds);
+        let followed = &simulation.followed;
+        let change = match has_sources {
+            true => merged(followed.changes.values()),
+            false => Known::NoMechanism,
+        };
+        let directory = simulation.directories.bytes_out.iter().zip(&self.directory_bytes);
+        let directory = directory.map(|(now, earlier)| (now - earlier) as f64 / seconds);
+        let sources = since.iter().skip(controllers).map(|traffic| traffic.bytes_out as f64 / seconds);
+        Row {
+            mode: Mode::Simulated,
+            controllers: simulation.controllers(),
+            real: 0,
+            fault,
+            seconds,
+            datagrams_out: rate(|traffic| traffic.datagrams_out),
+            datagrams_in: rate(|traffic| traffic.datagrams_in),
+            bytes_out: rate(|traffic| traffic.bytes_out),
+            bytes_in: rate(|traffic| traffic.bytes_in),
+            bytes: rate(|traffic| traffic.bytes_out + traffic.bytes_in),
+            core_share: MeanMax::of(shares),
+            memory_kib: None,
+            entries: simulation.most_entries_held(),
+            drain: merged(followed.drains.values()),
+            death: merged(followed.deaths.values()),
+            change,
+            replacement: merged(followed.replacements.values()),
+            false_suspicions: simulation.false_suspicions,
+            from_strangers: simulation.from_strangers,
+            cold_set_ups: simulation.servers.cold.set_ups,
+            cold_budget: simulation.servers.cold.most_of_budget,
+            cold_fell: simulation.servers.cold.fell,
+            calls: simulation.calls,
+            centre: Centre {
+                connections: simulation.directories.most_connections,
+                bytes_a_second: directory.chain(sources).fold(0.0, f64::max),
+                entries: has_sources.then(|| simulation.source_entries_held()),
+            },
+        }
+    }
+}
+
+/// Memory of a controller of a fleet that has been at work for the warm-up, in KiB: what the process grew by since its
+/// beginning. Sizes go upwards, so that what an earlier one gave back is not counted as free.
+fn memory_kib(options: &Options, controllers: u16, before: u64, make: Option<MakeControlPlane>) -> f64 {
+    let mut simulation = Simulation::new(simulation_config(options, controllers, make));
+    simulation.run_until(simulation.began().plus(WARM_UP));
+    let grown = used(std::process::id()).memory.saturating_sub(before);
+    grown as f64 / 1_024.0 / f64::from(controllers)
+}
+
+/// Runs the jobs on a few threads, the large ones first; rows in the order of the jobs.
+fn run_jobs(options: &Options, jobs: &[Job], make: &Option<MakeControlPlane>) -> Vec<Row> {
+    let mut order: Vec<usize> = (0..jobs.len()).collect();
+    order.sort_by_key(|number| std::cmp::Reverse(jobs[*number].controllers));
+    let (next, done) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..options.threads.clamp(1, 3) {
+            scope.spawn(|| loop {
+                let Some(&number) = order.get(next.fetch_add(1, Ordering::Relaxed)) else { return };
+                let Job { controllers, fault } = jobs[number];
+                let began = Instant::now();
+                let row = measure(options, controllers, fault, make.clone());
+                let took = began.elapsed().as_secs_f64();
+                println!("{controllers} controllers, {}: took {took:.1} s", fault.name());
+                if let Ok(mut done) = done.lock() {
+                    done.push((number, row));
+                }
+            });
+        }
+    });
+    let mut done = done.into_inner().unwrap_or_default();
+    done.sort_by_key(|(number, _)| *number);
+    done.into_iter().map(|(_, row)| row).collect()
+}
+
+/// Runs everything that was asked for; leaves a table and a chart. `true`: no check failed.
+pub async fn run(options: &Options, make: Option<MakeControlPlane>) -> Result<bool, LabError> {
+    options.check()?;
+    std::fs::create_dir_all(&options.out).map_err(|e| LabError::file(&options.out, e))?;
+    let mut sizes = options.all_sizes();
+    sizes.sort_unstable();
+    let before = used(std::process::id()).memory;
+    let memory: Vec<f64> =
+        sizes.iter().map(|size| memory_kib(options, *size, before, make.clone())).collect();
+    let jobs: Vec<Job> = sizes
+        .iter()
+        .flat_map(|&controllers| options.faults.iter().map(move |&fault| Job { controllers, fault }))
+        .collect();
+    let mut rows = run_jobs(options, &jobs, &make);
+    for row in &mut rows {
+        let size = sizes.iter().position(|size| *size == row.controllers);
+        row.memory_kib = size.filter(|_| row.fault == Fault::None).map(|at| memory[at]);
+    }
+    leave(options, &rows)
+}
+
+fn leave(options: &Options, rows: &[Row]) -> Result<bool, LabError> {
+    let title = format!("Scale run, seed {}, {} s measured after {} s", options.seed, options.seconds, WARM_UP.secs());
+    let table = markdown(rows, &title);
+    print!("{table}");
+    let file = options.out.join("scale.md");
+    std::fs::write(&file, table).map_err(|e| LabError::file(&file, e))?;
+    write_csv(rows, &options.out.join("scale.csv"))?;
+    write_svg(rows, &options.out.join("scale.svg"))?;
+    println!("{} holds scale.csv, scale.md and scale.svg", options.out.display());
+    let (passed, failed) = verdict(rows, |_: Check| true);
+    println!("{passed} passed, {failed} failed");
+    Ok(failed == 0)
+}
