--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,141 @@
+//! The scale run in the small: hollow controllers in simulated time, and real ones beside them. What is bounded is
+//! bounded by counts; no clock decides.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use lockpoint::interface::{Span, Time};
+use lockpoint_lab::scale::address::Address;
+use lockpoint_lab::scale::bounds::{checks, Check, BYTES_A_SECOND, KNOWN_WITHIN_MS};
+use lockpoint_lab::scale::control_plane::{ChangeId, ControlPlane, ControlPlaneConfig, MakeControlPlane};
+use lockpoint_lab::scale::report::{verdict, Known, Row};
+use lockpoint_lab::scale::run::measure;
+use lockpoint_lab::scale::scenario::Fault;
+use lockpoint_lab::scale::traffic::MeanMax;
+use lockpoint_lab::scale::Options;
+
+const SEED: u64 = 7;
+
+fn options(seconds: f64) -> Options {
+    println!("seed {SEED}");
+    Options { seconds, seed: SEED, ..Options::default() }
+}
+
+/// A row without what depends on the machine.
+fn counted(row: Row) -> Row {
+    Row { core_share: MeanMax::default(), memory_kib: None, ..row }
+}
+
+fn latest(known: &Known) -> Option<u64> {
+    match known {
+        Known::After(delays) => delays.at_share(1.0),
+        Known::NotAsked | Known::NoMechanism => None,
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_run_and_the_same_verdict() {
+    let run = || counted(measure(&options(12.0), 60, Fault::Loss, None));
+    let (first, second) = (run(), run());
+    assert_eq!(first, second);
+    let rows = [first];
+    let by_counts = |check: Check| !check.depends_on_machine();
+    assert_eq!(verdict(&rows, by_counts), (4, 1), "{:?}", checks(&rows[0]));
+    assert_eq!(rows[0].failures(), ["change"], "nothing spreads a change of configuration");
+}
+
+#[test]
+fn traffic_entries_and_detection_stay_bounded_as_the_fleet_doubles() {
+    let small = measure(&options(16.0), 30, Fault::OneDies, None);
+    let large = measure(&options(16.0), 60, Fault::OneDies, None);
+    for row in [&small, &large] {
+        let size = row.controllers;
+        assert!(row.bytes.max <= BYTES_A_SECOND, "{size}: {:?}", row.bytes);
+        assert!(row.entries <= usize::from(size), "{size}: {}", row.entries);
+        assert!(latest(&row.drain).is_some_and(|ms| ms <= KNOWN_WITHIN_MS), "{size}: {:?}", row.drain);
+        assert!(latest(&row.death).is_some_and(|ms| ms <= KNOWN_WITHIN_MS), "{size}: {:?}", row.death);
+        assert_eq!(row.false_suspicions, 0, "{size}");
+    }
+    // What a controller handles is bounded by its bytes, not by the size of the fleet.
+    let (before, after) = (small.datagrams_in.mean, large.datagrams_in.mean);
+    assert!(after <= before * 1.25, "{before} datagrams a second in, then {after}");
+}
+
+#[test]
+fn a_zone_that_restarts_leaves_its_cold_call_servers_within_their_budget() {
+    let row = measure(&options(12.0), 60, Fault::ZoneRestarts, None);
+    assert!(row.cold_set_ups > 0, "nothing was sent to a cold call server");
+    assert_eq!(row.cold_fell, 0);
+    assert!(row.cold_budget <= 1.0, "{}", row.cold_budget);
+}
+
+/// A control plane that knows no loss: each source tells every member each change once, and every member lists those
+/// that it hears of. It shows that the seam carries a module, not that a module is good.
+struct Broadcast {
+    config: ControlPlaneConfig,
+    directory: Rc<RefCell<BTreeSet<Address>>>,
+    in_force: BTreeSet<ChangeId>,
+    proposed: Vec<ChangeId>,
+}
+
+/// Addresses of a fleet of this test, sources included.
+const MEMBERS: u32 = 36;
+
+impl ControlPlane for Broadcast {
+    fn receive(&mut self, _: Time, _: Address, bytes: &[u8]) {
+        if let Ok(number) = <[u8; 4]>::try_from(bytes) {
+            self.in_force.insert(ChangeId(u32::from_be_bytes(number)));
+        }
+    }
+
+    fn poll(&mut self, _: Time, out: &mut Vec<(Address, Vec<u8>)>) {
+        for change in std::mem::take(&mut self.proposed) {
+            let others = (0..MEMBERS).map(Address).filter(|other| *other != self.config.address);
+            out.extend(others.map(|other| (other, change.0.to_be_bytes().to_vec())));
+        }
+    }
+
+    fn next_due(&self) -> Time {
+        let due = !self.proposed.is_empty();
+        if due {
+            Time(0)
+        } else {
+            Time(u64::MAX)
+        }
+    }
+
+    fn propose(&mut self, _: Time, change: ChangeId) {
+        self.proposed.push(change);
+        self.in_force.insert(change);
+    }
+
+    fn is_in_force(&self, change: ChangeId) -> bool {
+        self.in_force.contains(&change)
+    }
+
+    fn knows_member(&self, address: Address) -> bool {
+        self.directory.borrow().contains(&address)
+    }
+
+    fn entries_held(&self) -> usize {
+        self.in_force.len()
+    }
+}
+
+#[test]
+fn a_control_plane_that_is_plugged_in_turns_no_mechanism_into_a_delay() {
+    let make: MakeControlPlane = Arc::new(|config: &ControlPlaneConfig, _| {
+        Box::new(Broadcast {
+            config: config.clone(),
+            directory: Rc::default(),
+            in_force: BTreeSet::new(),
+            proposed: Vec::new(),
+        })
+    });
+    let row = measure(&options(10.0), 30, Fault::None, Some(make));
+    let slowest = Span::from_millis(30);
+    assert!(latest(&row.change).is_some_and(|ms| ms <= slowest.0 / 1_000), "{:?}", row.change);
+    assert_eq!(row.centre.entries, Some(1));
+}
