Scale run: real controllers beside the simulated fleet

Need: simulated time alone does not show what a real process spends. Changed: real agents on loopback beside hollow controllers, which run at the pace of real time; a relay for their datagrams.

--- a/crates/lockpoint-lab/src/fleet/mesh.rs
+++ b/crates/lockpoint-lab/src/fleet/mesh.rs
@@ -19,7 +19,7 @@
 use crate::under_test::LabError;
 
 /// Longer than any datagram between controllers.
-const LONGEST: usize = 2_048;
+pub const LONGEST: usize = 2_048;
 
 /// Tracks which controllers have received an observation, and when.
 pub struct Watch {
@@ -50,7 +50,7 @@
 
 /// An address of 127.0.0.0/8 that no other mesh of this machine has: by process and by count within it. Ports that the
 /// system picks at 127.0.0.1 do not meet those here.
-fn address_of_its_own() -> Ipv4Addr {
+pub fn address_of_its_own() -> Ipv4Addr {
     static MESHES: AtomicU8 = AtomicU8::new(0);
     let [.., high, low] = std::process::id().to_be_bytes();
     // Not 0: 127.0.0.1 is everybody's.
--- a/crates/lockpoint-lab/src/fleet/processes.rs
+++ b/crates/lockpoint-lab/src/fleet/processes.rs
@@ -13,7 +13,7 @@
 
 use super::mesh::Mesh;
 use super::sim::Links;
-use crate::under_test::{address, Agent, Folder, LabError};
+use crate::under_test::{address, Agent, Folder, LabError, Used};
 
 /// Longest wait for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -53,6 +53,51 @@
     pub at: SocketAddr,
 }
 
+impl Process {
+    /// Starts a controller with one instance, its files in `folder`, and waits until it serves.
+    pub async fn start(
+        program: &Path,
+        folder: &Path,
+        me: u16,
+        instance: &Value,
+    ) -> Result<Process, LabError> {
+        let control = folder.join(format!("c{me}.sock"));
+        let config = folder.join(format!("c{me}.toml"));
+        let file = json!({"control": control, "log": {"level": "warn"}, "instance": [instance]});
+        let text = toml::to_string(&file).map_err(|e| LabError::file(&config, e))?;
+        std::fs::write(&config, text).map_err(|e| LabError::file(&config, e))?;
+        let mut agent = Agent::start(program, &config, &control, true)?;
+        let status = agent.until(|i| i.state == "serving" && !i.servers.is_empty()).await?;
+        let at = address(&status.first().and_then(|i| i.listen.clone()), "listen")?;
+        Ok(Process { agent, control, at })
+    }
+
+    /// What its process has used.
+    pub fn used(&self) -> Used {
+        self.agent.used()
+    }
+
+    /// Ends it in order. `true`: it ended so.
+    pub async fn stop(self) -> bool {
+        self.agent.stop().await
+    }
+
+    /// Its figures by name, without their common beginning; none where it does not answer.
+    pub async fn figures(&self) -> BTreeMap<String, u64> {
+        let request = Request { command: Command::Info, instance: None };
+        let Ok(Reply::Called { instances }) = ask(&self.control, &request).await else {
+            return BTreeMap::new();
+        };
+        let lines = instances.iter().flat_map(|called| called.answer.lines());
+        let figure = |line: &str| {
+            let (name, rest) = line.strip_prefix("controller.")?.rsplit_once(':')?;
+            let value = rest.split('|').next()?.parse().ok()?;
+            Some((name.to_owned(), value))
+        };
+        lines.filter_map(figure).collect()
+    }
+}
+
 /// A fleet of processes.
 pub struct Processes {
     /// The links between them.
@@ -127,8 +172,6 @@
 
     /// Starts a controller, for the first time or again, and waits until it serves.
     pub async fn begin(&mut self, me: u16) -> Result<(), LabError> {
-        let control = self.folder.path().join(format!("c{me}.sock"));
-        let config = self.folder.path().join(format!("c{me}.toml"));
         let bulletin = self.bulletins.get(&me).unwrap_or(&self.bulletin);
         let mut instance = json!({"name": format!("c{me}"), "listen": "127.0.0.1:0", "bulletin": bulletin,
             "seed": u64::from(me) + 1, "settings": self.settings});
@@ -142,13 +185,8 @@
             instance["store"] = keys.clone();
             instance["store"]["file"] = json!(self.records(me));
         }
-        let file = json!({"control": control, "log": {"level": "warn"}, "instance": [instance]});
-        let text = toml::to_string(&file).map_err(|e| LabError::file(&config, e))?;
-        std::fs::write(&config, text).map_err(|e| LabError::file(&config, e))?;
-        let mut agent = Agent::start(&self.program, &config, &control, true)?;
-        let status = agent.until(|i| i.state == "serving" && !i.servers.is_empty()).await?;
-        let at = address(&status.first().and_then(|i| i.listen.clone()), "listen")?;
-        self.each.insert(me, Process { agent, control, at });
+        let process = Process::start(&self.program, self.folder.path(), me, &instance).await?;
+        self.each.insert(me, process);
         Ok(())
     }
 
@@ -193,18 +231,10 @@
 
     /// A controller's figures by name, without their common beginning; none where it does not answer.
     pub async fn figures(&self, me: u16) -> BTreeMap<String, u64> {
-        let Some(process) = self.each.get(&me) else { return BTreeMap::new() };
-        let request = Request { command: Command::Info, instance: None };
-        let Ok(Reply::Called { instances }) = ask(&process.control, &request).await else {
-            return BTreeMap::new();
-        };
-        let lines = instances.iter().flat_map(|called| called.answer.lines());
-        let figure = |line: &str| {
-            let (name, rest) = line.strip_prefix("controller.")?.rsplit_once(':')?;
-            let value = rest.split('|').next()?.parse().ok()?;
-            Some((name.to_owned(), value))
-        };
-        lines.filter_map(figure).collect()
+        match self.each.get(&me) {
+            Some(process) => process.figures().await,
+            None => BTreeMap::new(),
+        }
     }
 
     /// The newest observation of a call server that a controller reports.
--- a/crates/lockpoint-lab/src/scale/mod.rs
+++ b/crates/lockpoint-lab/src/scale/mod.rs
@@ -14,6 +14,8 @@
 pub mod directory;
 pub mod links;
 pub mod options;
+pub mod real;
+pub mod real_links;
 pub mod report;
 pub mod run;
 pub mod scenario;
--- a/crates/lockpoint-lab/src/scale/run.rs
+++ b/crates/lockpoint-lab/src/scale/run.rs
@@ -11,6 +11,7 @@
 use super::chart::write_svg;
 use super::control_plane::MakeControlPlane;
 use super::options::Options;
+use super::real::measure_real;
 use super::report::{markdown, verdict, write_csv, Centre, Known, Mode, Row};
 use super::scenario::{script, Fault, Fleet, WARM_UP};
 use super::services;
@@ -18,7 +19,7 @@
 use super::spread::{Delays, Spread};
 use super::topology::Topology;
 use super::traffic::{MeanMax, Traffic};
-use crate::under_test::{used, LabError};
+use crate::under_test::{beside, used, LabError};
 
 /// When the memory of a fleet is read: all controllers have started by then and hold their lists.
 const MEMORY_AFTER: Span = Span::from_millis(2_000);
@@ -218,6 +219,10 @@
         let size = sizes.iter().position(|size| *size == row.controllers);
         row.memory_kib = size.filter(|_| row.fault == Fault::None).map(|at| memory[at]);
     }
+    if options.real > 0 {
+        println!("{} real controllers beside {} hollow ones", options.real, options.beside_real);
+        rows.push(measure_real(options, &beside("lockpoint")).await?);
+    }
     leave(options, &rows)
 }
 
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -3,6 +3,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -10,11 +11,13 @@
 use lockpoint_lab::scale::address::Address;
 use lockpoint_lab::scale::bounds::{checks, Check, BYTES_A_SECOND, KNOWN_WITHIN_MS};
 use lockpoint_lab::scale::control_plane::{ChangeId, ControlPlane, ControlPlaneConfig, MakeControlPlane};
+use lockpoint_lab::scale::real::measure_real;
 use lockpoint_lab::scale::report::{verdict, Known, Row};
 use lockpoint_lab::scale::run::measure;
 use lockpoint_lab::scale::scenario::Fault;
 use lockpoint_lab::scale::traffic::MeanMax;
 use lockpoint_lab::scale::Options;
+use lockpoint_lab::world::on_one_thread;
 
 const SEED: u64 = 7;
 
@@ -139,3 +142,17 @@
     assert!(latest(&row.change).is_some_and(|ms| ms <= slowest.0 / 1_000), "{:?}", row.change);
     assert_eq!(row.centre.entries, Some(1));
 }
+
+#[test]
+fn three_real_controllers_beside_sixty_hollow_ones_take_calls_and_learn_what_the_fleet_learns() {
+    let program = Path::new(env!("CARGO_BIN_EXE_lockpoint"));
+    let options = Options { real: 3, beside_real: 60, ..options(12.0) };
+    let row = on_one_thread(measure_real(&options, program)).expect("it runs");
+    let (asked, stood) = row.calls;
+    assert!(asked > 0, "no call was placed");
+    assert_eq!(stood, asked, "calls that stood, of those asked for");
+    assert!(row.bytes.max <= BYTES_A_SECOND, "{:?}", row.bytes);
+    assert_eq!(row.false_suspicions, 0);
+    assert!(latest(&row.drain).is_some_and(|ms| ms <= KNOWN_WITHIN_MS), "{:?}", row.drain);
+    assert!(latest(&row.death).is_some_and(|ms| ms <= KNOWN_WITHIN_MS), "{:?}", row.death);
+}
