--- a/crates/lockpoint-lab/src/scale/scenario.rs
+++ b/crates/lockpoint-lab/src/scale/scenario.rs
@@ -167,7 +167,7 @@
         let pause = self.measured.share(REPLACING / f64::from(count));
         let replaced = |member: u16| {
             let distance = (member + controllers - first) % controllers;
-            distance % REPLACED_ONE_IN == 0 && distance / REPLACED_ONE_IN < count
+            distance.is_multiple_of(REPLACED_ONE_IN) && distance / REPLACED_ONE_IN < count
         };
         for no in 0..count {
             let member =
--- /dev/null
+++ b/crates/lockpoint-lab/src/scale/simulation/calls.rs
@@ -0,0 +1,108 @@
+//! Calls: how they come in, and what the controllers' cores ask for.
+
+use lockpoint::core::{Effect, Input, ServerSays, SetUp, Sid};
+use lockpoint::interface::{Cell, ServerId};
+
+use super::event::Event;
+use super::{Simulation, HOLD, PATIENCE};
+use crate::scale::address::Address;
+use crate::scale::arrivals::Arrival;
+use crate::scale::controller::{Channel, CLIENT};
+use crate::scale::servers::server_at;
+use crate::scale::spread::Spread;
+
+impl Simulation {
+    pub(super) fn arrive(&mut self, arrival: Arrival) {
+        let next = self.arrivals.next(self.now);
+        self.schedule(next.at, Event::Arrive(next));
+        self.calls.0 += 1;
+        self.calls_made += 1;
+        let set_up = SetUp {
+            sid: Sid::numbered(self.calls_made),
+            class: self.class_names[usize::from(arrival.service)].clone(),
+            tenant: None,
+            left: PATIENCE,
+            number: "7f".into(),
+            dest: Some(Cell(arrival.server)),
+            redialled: false,
+            body: "x".into(),
+        };
+        self.input(arrival.controller, Input::Open(CLIENT, set_up));
+    }
+
+    pub(super) fn server_says(
+        &mut self,
+        member: u16,
+        address: Address,
+        server: u16,
+        sid: Sid,
+        says: ServerSays,
+    ) {
+        if matches!(says, ServerSays::Answered(_)) {
+            let ends = Event::CallEnds { controller: member, address, server, sid };
+            self.schedule(self.now.plus(HOLD), ends);
+        }
+        let Some(controller) = self.controllers[usize::from(member)].as_ref() else { return };
+        if controller.address != address {
+            return;
+        }
+        if let Some(id) = controller.server_id(server) {
+            self.input(member, Input::Server(id, sid, says));
+        }
+    }
+
+    pub(super) fn input(&mut self, member: u16, input: Input) {
+        let now = self.now;
+        let Some(controller) = self.controllers[usize::from(member)].as_mut() else { return };
+        let mut effects = Vec::new();
+        controller.handle(now, input, &mut effects);
+        self.carry_out(member, effects);
+    }
+
+    pub(super) fn carry_out(&mut self, member: u16, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Reach { server, dial, .. } => self.reach(member, server, dial),
+                Effect::Invite { server, sid, .. } => self.invite(member, server, sid),
+                Effect::Answer(..) => self.calls.1 += 1,
+                Effect::Release(_, sid, _) => self.input(member, Input::Heard(sid)),
+                Effect::Tell(Some(to), bytes) => self.tell(member, to, bytes),
+                Effect::Withdraw(server) => self.withdrawn(member, server),
+                Effect::Log(_) => self.check_suspicions(member),
+                _ => {}
+            }
+        }
+        self.book(member);
+    }
+
+    pub(super) fn reach(&mut self, member: u16, id: ServerId, dial: std::net::SocketAddr) {
+        let controller = self.controllers[usize::from(member)].as_mut();
+        if let (Some(controller), Some(server)) = (controller, server_at(dial)) {
+            controller.note_server(id, server);
+        }
+    }
+
+    pub(super) fn tell(&mut self, member: u16, to: u16, bytes: Vec<u8>) {
+        let Some(controller) = self.controllers[usize::from(member)].as_ref() else { return };
+        if let Some(to) = controller.address_book.address_of(to) {
+            self.send(member, to, Channel::Fleet, bytes);
+        }
+    }
+
+    /// A set-up reaches a call server.
+    pub(super) fn invite(&mut self, member: u16, id: ServerId, sid: Sid) {
+        let Some(controller) = self.controllers[usize::from(member)].as_ref() else { return };
+        let (address, Some(server)) = (controller.address, controller.server(id)) else { return };
+        let (at, says) = self.servers.offer(self.now, server);
+        self.schedule(at, Event::Says { controller: member, address, server, sid, says });
+    }
+
+    /// A controller sends a call server nothing more: it knows that it drains.
+    pub(super) fn withdrawn(&mut self, member: u16, id: ServerId) {
+        let server = self.controllers[usize::from(member)].as_ref().and_then(|c| c.server(id));
+        let spread = server.and_then(|server| self.followed.drains.get_mut(&server));
+        if let Some(spread) = spread {
+            spread.known(self.now, member);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lockpoint-lab/src/scale/simulation/network.rs
@@ -0,0 +1,101 @@
+//! Datagrams between controllers, and what a controller learns from them.
+
+use super::event::{Delivery, Event, RemoteDatagram};
+use super::Simulation;
+use crate::scale::address::Address;
+use crate::scale::controller::Channel;
+
+impl Simulation {
+    pub(super) fn send(&mut self, from: u16, to: Address, channel: Channel, bytes: Vec<u8>) {
+        self.traffic[usize::from(from)].sent(bytes.len());
+        let Some(target) = self.members.get(&to).copied() else { return };
+        let Some(delay) = self.links.delay(from, target, &mut self.rng) else { return };
+        let delivery = Delivery { from: self.addresses[usize::from(from)], to, channel, bytes: bytes.into() };
+        self.schedule(self.now.plus(delay), Event::Deliver(delivery));
+    }
+
+    pub(super) fn deliver(&mut self, delivery: &Delivery) {
+        let Some(member) = self.members.get(&delivery.to).copied() else { return };
+        let now = self.now;
+        if self.is_remote(member) {
+            return self.hand_out(member, delivery);
+        }
+        let Some(controller) = self.controllers[usize::from(member)].as_mut() else { return };
+        if controller.address != delivery.to {
+            return;
+        }
+        self.traffic[usize::from(member)].received(delivery.bytes.len());
+        let mut effects = Vec::new();
+        let taken = controller.receive(now, delivery.from, delivery.channel, &delivery.bytes, &mut effects);
+        if !taken {
+            self.from_strangers += 1;
+            return;
+        }
+        if delivery.channel == Channel::ControlPlane {
+            self.check_control_plane(member);
+        } else if let Some(sender) = self.members.get(&delivery.from) {
+            if let Some(spread) = self.followed.replacements.get_mut(sender) {
+                spread.known(now, member);
+            }
+        }
+        self.carry_out(member, effects);
+    }
+
+    pub(super) fn is_remote(&self, member: u16) -> bool {
+        let Simulation { config, .. } = self;
+        (config.controllers - config.remote..config.controllers).contains(&member)
+    }
+
+    pub(super) fn hand_out(&mut self, to: u16, delivery: &Delivery) {
+        let Some(from) = self.members.get(&delivery.from).copied() else { return };
+        self.traffic[usize::from(to)].received(delivery.bytes.len());
+        self.outbox.push(RemoteDatagram { from, to, bytes: delivery.bytes.clone() });
+    }
+
+    /// Notes what a controller learned from the control plane.
+    pub(super) fn check_control_plane(&mut self, member: u16) {
+        let now = self.now;
+        if member >= self.config.controllers {
+            return;
+        }
+        let Some(controller) = self.controllers[usize::from(member)].as_ref() else { return };
+        let Some(plane) = controller.control_plane.as_ref() else { return };
+        for (change, spread) in &mut self.followed.changes {
+            if !spread.is_known_to(member) && plane.is_in_force(*change) {
+                spread.known(now, member);
+            }
+        }
+        for (dead, spread) in &mut self.followed.deaths {
+            if !spread.is_known_to(member) && !plane.knows_member(self.addresses[usize::from(*dead)]) {
+                spread.known(now, member);
+            }
+        }
+        for (replaced, spread) in &mut self.followed.replacements {
+            if !spread.is_known_to(member) && plane.knows_member(self.addresses[usize::from(*replaced)]) {
+                spread.known(now, member);
+            }
+        }
+    }
+
+    /// A controller has said something; if it is that it lost others, that is checked against what is so.
+    pub(super) fn check_suspicions(&mut self, member: u16) {
+        let Some(controller) = self.controllers[usize::from(member)].as_ref() else { return };
+        let (_, lost) = controller.heard_and_lost();
+        let before = std::mem::replace(&mut self.suspected[usize::from(member)], lost);
+        let others = (0..self.config.controllers).filter(|other| *other != member);
+        // Nobody answers any more where a replaced one was: that it is gone is true as far as an old list goes.
+        let gone = |other: &u16| {
+            self.dead.contains(other)
+                || self.replaced.contains(other)
+                || self.links.are_parted(member, *other)
+        };
+        let justified = others.filter(gone).count();
+        if lost > before {
+            self.false_suspicions += lost.saturating_sub(justified.max(before)) as u64;
+        }
+        if lost >= self.dead.len() {
+            let now = self.now;
+            self.followed.deaths.values_mut().for_each(|spread| spread.known(now, member));
+        }
+    }
+}
