Scale run: replication as control plane, time of a call, time of a fleet

Need: the run said `no mechanism` for changes of configuration, and what a call costs in a large fleet was not seen.

--- a/crates/lockpoint-lab/src/main.rs
+++ b/crates/lockpoint-lab/src/main.rs
@@ -87,7 +87,7 @@
             Commands::Demo { config, out, seconds } => shown(&demo::run(&config, seconds).await?, &out),
             Commands::Bench(options) => bench::run(&options).await.map(|()| true),
             Commands::FleetLimits(options) => limits::run(&options).await,
-            Commands::Scale(options) => scale::run(&options, None).await,
+            Commands::Scale(options) => scale::run(&options).await,
             Commands::Crash(crash) => crash::run(&crash).await,
             Commands::Relay(options) => relay::run(&options).await.map(|()| true),
         }
--- a/crates/lockpoint-lab/src/scale/controller.rs
+++ b/crates/lockpoint-lab/src/scale/controller.rs
@@ -34,6 +34,8 @@
     pub booked: Option<Time>,
     /// Time that it spent on control: datagrams and deadlines.
     pub control_time: Duration,
+    /// Time that it spent on what callers, call servers and directories said.
+    pub call_time: Duration,
     core: Core,
     server_by_id: BTreeMap<ServerId, u16>,
     id_by_server: BTreeMap<u16, ServerId>,
@@ -53,6 +55,7 @@
             control_plane,
             booked: None,
             control_time: Duration::ZERO,
+            call_time: Duration::ZERO,
             core: Core::new(config),
             server_by_id: BTreeMap::new(),
             id_by_server: BTreeMap::new(),
@@ -61,7 +64,9 @@
 
     /// Takes an input of the calls' side.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
+        let began = Instant::now();
         self.core.handle(now, input, out);
+        self.call_time += began.elapsed();
     }
 
     /// Takes a datagram; one of a stranger is dropped. `true`: it was taken.
@@ -124,9 +129,9 @@
         self.id_by_server.get(&server).copied()
     }
 
-    /// Members that it hears, and those that it heard and does not hear any more.
-    pub fn heard_and_lost(&self) -> (usize, usize) {
-        self.core.fleet_heard()
+    /// Members that it heard and does not hear any more.
+    pub fn lost_members(&self) -> usize {
+        self.core.fleet_peers().lost
     }
 
     /// Call servers of which it holds something that the fleet told or that it saw itself.
--- a/crates/lockpoint-lab/src/scale/mod.rs
+++ b/crates/lockpoint-lab/src/scale/mod.rs
@@ -16,6 +16,7 @@
 pub mod options;
 pub mod real;
 pub mod real_links;
+pub mod replicated;
 pub mod report;
 pub mod run;
 pub mod scenario;
--- a/crates/lockpoint-lab/src/scale/real.rs
+++ b/crates/lockpoint-lab/src/scale/real.rs
@@ -145,7 +145,7 @@
             let mut least = others;
             for process in &self.processes {
                 let figures = process.figures().await;
-                least = least.min(figures.get("fleet.peers_heard").copied().unwrap_or(0));
+                least = least.min(figures.get("fleet.peers_alive").copied().unwrap_or(0));
             }
             if least == others {
                 return Ok(());
@@ -242,6 +242,7 @@
             bytes_in: rate(|traffic| traffic.bytes_in),
             bytes: rate(|traffic| traffic.bytes_out + traffic.bytes_in),
             core_share,
+            call_micros: 0.0,
             memory_kib: Some(memory.max),
             entries: 0,
             drain: Known::NotAsked,
--- a/crates/lockpoint-lab/src/scale/scenario.rs
+++ b/crates/lockpoint-lab/src/scale/scenario.rs
@@ -10,7 +10,9 @@
 use super::topology::{Topology, RACKS};
 
 /// How long a fleet is at work before anything is measured.
-pub const WARM_UP: Span = Span::from_millis(4_000);
+const WARM_UP: Span = Span::from_millis(4_000);
+/// The same with a control plane, whose members join one after the other.
+const WARM_UP_JOINING: Span = Span::from_millis(12_000);
 /// From the beginning of the measurement to the fault, and from there to the news that is followed.
 const STEP: Span = Span::from_millis(1_000);
 /// A zone that restarts is away for this share of the time measured.
@@ -82,6 +84,17 @@
     pub has_sources: bool,
 }
 
+impl Fleet {
+    /// How long it is at work before anything is measured.
+    pub fn warm_up(&self) -> Span {
+        if self.has_sources {
+            WARM_UP_JOINING
+        } else {
+            WARM_UP
+        }
+    }
+}
+
 /// What happens, and how long after the beginning.
 pub type Script = Vec<(Span, Action)>;
 
@@ -97,7 +110,7 @@
 pub fn script(fault: Fault, fleet: Fleet, measured: Span, seed: u64) -> Script {
     let rng = Pcg64Mcg::seed_from_u64(seed ^ 0x0066_6175_6c74);
     let mut author = Author { fleet, rng, script: Vec::new(), measured };
-    let at = WARM_UP.plus(STEP);
+    let at = fleet.warm_up().plus(STEP);
     match fault {
         Fault::None => author.news_from(at.plus(STEP), |_| true, 0),
         Fault::OneDies => author.one_dies(at),
--- a/crates/lockpoint-lab/src/scale/simulation/calls.rs
+++ b/crates/lockpoint-lab/src/scale/simulation/calls.rs
@@ -9,7 +9,6 @@
 use crate::scale::arrivals::Arrival;
 use crate::scale::controller::{Channel, CLIENT};
 use crate::scale::servers::server_at;
-use crate::scale::spread::Spread;
 
 impl Simulation {
     pub(super) fn arrive(&mut self, arrival: Arrival) {
--- a/crates/lockpoint-lab/src/scale/simulation/mod.rs
+++ b/crates/lockpoint-lab/src/scale/simulation/mod.rs
@@ -45,6 +45,8 @@
 const HOLD: Span = Span::from_millis(4_000);
 /// Calls a second that all call servers bear together, as a multiple of those that come.
 const HEADROOM: f64 = 2.0;
+/// Calls a second that a call server bears at least, so that a single call does not fill it.
+const LEAST_CAPACITY: f64 = 5.0;
 /// The longest that a directory's news takes to reach a controller.
 const DIRECTORY_DELAY: Span = Span::from_millis(300);
 
@@ -133,7 +135,7 @@
 pub fn processor(config: &SimulationConfig) -> ProcessorConfig {
     let rate = config.calls_per_controller * f64::from(config.controllers);
     ProcessorConfig {
-        capacity: rate * HEADROOM / f64::from(config.servers.max(1)),
+        capacity: (rate * HEADROOM / f64::from(config.servers.max(1))).max(LEAST_CAPACITY),
         ..ProcessorConfig::default()
     }
 }
@@ -260,6 +262,11 @@
         each.map(time).take(usize::from(self.config.controllers)).collect()
     }
 
+    /// Time that all controllers alive have spent on calls, together.
+    pub fn call_time(&self) -> Duration {
+        self.controllers.iter().flatten().map(|controller| controller.call_time).sum()
+    }
+
     /// The most call servers that a controller holds something of.
     pub fn most_entries_held(&self) -> usize {
         let alive = self.controllers.iter().flatten();
--- a/crates/lockpoint-lab/src/scale/simulation/processes.rs
+++ b/crates/lockpoint-lab/src/scale/simulation/processes.rs
@@ -63,7 +63,7 @@
         let fleet = FleetConfig {
             me: member,
             controllers: self.config.controllers,
-            life: incarnation(self.now),
+            incarnation: incarnation(self.now),
             seed,
             ..FleetConfig::default()
         };
