--- a/crates/lockpoint-lab/src/main.rs
+++ b/crates/lockpoint-lab/src/main.rs
@@ -14,7 +14,7 @@
 use lockpoint_lab::run::{run, Show};
 use lockpoint_lab::under_test::{beside, LabError};
 use lockpoint_lab::world::on_one_thread;
-use lockpoint_lab::{bench, demo, relay};
+use lockpoint_lab::{bench, demo, relay, scale};
 
 /// Experiments and measurements around lockpoint, on loopback addresses only.
 #[derive(Debug, Parser)]
@@ -64,6 +64,8 @@
     FleetLimits(limits::Options),
     /// Hold what the whole fleet sends a cold call server against its budget; ends with `N passed, N failed`.
     ColdBudget(cold_budget::Options),
+    /// Measure the control traffic of a large fleet under faults; ends with `N passed, N failed`.
+    Scale(scale::Options),
     /// Power losses of real controllers.
     #[command(subcommand)]
     Crash(crash::Crash),
@@ -88,6 +90,7 @@
             Commands::Bench(options) => bench::run(&options).await.map(|()| true),
             Commands::FleetLimits(options) => limits::run(&options).await,
             Commands::ColdBudget(options) => cold_budget::run(&options),
+            Commands::Scale(options) => scale::run(&options).await,
             Commands::Crash(crash) => crash::run(&crash).await,
             Commands::Relay(options) => relay::run(&options).await.map(|()| true),
         }
