Replication on sockets: file section, settings overlay, commands (no tests yet)

The replica of src/replication gets its socket and timer, its section of the operator's file, the settings laid over the file's, and fleet set, unset, config, members, acknowledged. Built and linted once before the last small edit; no test was run, and none is written for it yet.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 pub mod fleet;
+pub mod replication;
 pub mod store;
 
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 
 use crate::config::{self, ConfigError, InstanceConfig};
 use crate::console;
+use crate::control::replication::ChangeId;
 use crate::control::{self, Called, Command, Reply, Request};
 use crate::instance::{Before, Bound, Instance};
 use crate::logs::{self, LogConfig};
@@ -99,6 +101,33 @@
 enum FleetCommands {
     /// The state of the call servers as known to the fleet and to this controller, and the permits it holds.
     Limits(Call),
+    /// Give a replicated setting a value, at a source: KEY is all/PATH or service/SERVICE/PATH, VALUE is JSON.
+    Set {
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+        #[command(flatten)]
+        wait: replication::Wait,
+    },
+    /// Delete a replicated setting, at a source.
+    Unset {
+        /// The key.
+        key: String,
+        #[command(flatten)]
+        wait: replication::Wait,
+    },
+    /// The replicated settings in force, what is not in force, and conflicts.
+    Config(replication::Target),
+    /// The members.
+    Members(replication::Target),
+    /// Whether a change is in force everywhere, and where not.
+    Acknowledged {
+        /// The change, as SOURCE:NUMBER or SOURCE:EPOCH:NUMBER.
+        change: ChangeId,
+        #[command(flatten)]
+        target: replication::Target,
+    },
 }
 
 #[derive(Debug, Args)]
@@ -146,7 +175,7 @@
         Some(Commands::Info(call)) => runtime.block_on(call_to(Command::Info, call)),
         Some(Commands::Lameduck(call)) => runtime.block_on(call_to(Command::Lameduck, call)),
         Some(Commands::Rejoin(call)) => runtime.block_on(call_to(Command::Rejoin, call)),
-        Some(Commands::Fleet(FleetCommands::Limits(call))) => runtime.block_on(fleet_limits(call)),
+        Some(Commands::Fleet(command)) => runtime.block_on(about_fleet(command)),
         Some(Commands::Store(command)) => records(command),
         Some(Commands::Stop(ask)) => runtime.block_on(put(Command::Stop, ask)),
     }
@@ -335,6 +364,17 @@
     }
 }
 
+async fn about_fleet(command: FleetCommands) -> ExitCode {
+    match command {
+        FleetCommands::Limits(call) => fleet_limits(call).await,
+        FleetCommands::Set { key, value, wait } => replication::set(key, &value, wait).await,
+        FleetCommands::Unset { key, wait } => replication::unset(key, wait).await,
+        FleetCommands::Config(target) => replication::config(target).await,
+        FleetCommands::Members(target) => replication::members(target).await,
+        FleetCommands::Acknowledged { change, target } => replication::acknowledged(change, target).await,
+    }
+}
+
 /// Prints what controllers know together, from their figures.
 async fn fleet_limits(call: Call) -> ExitCode {
     let called = match call.console {
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,8 @@
 //! What a controller is told at its start: the platform's JSON and environment, or an operator's TOML file.
 
+pub mod overlay;
+mod replication;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -20,6 +23,8 @@
 use crate::net::pool::BUFFER;
 use crate::secrets;
 use crate::wire::parse_settings;
+pub use replication::ReplicationConfig;
+use replication::ReplicationForm;
 
 /// A configuration that cannot be used: where, which key, and why.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -84,6 +89,35 @@
     pub connect_timeout: Span,
     /// What the core is told.
     pub core: CoreConfig,
+    /// Replicated configuration and membership; off on the platform.
+    pub replication: Option<ReplicationConfig>,
+    /// The settings as they stand in the file.
+    pub settings: Value,
+}
+
+impl InstanceConfig {
+    /// The same with other settings, read by the same checks as a file's; an error holds the key at fault and the reason.
+    pub(crate) fn with_settings(&self, settings: Value) -> Result<InstanceConfig, (String, String)> {
+        let parsed =
+            parse_settings(settings.to_string().as_bytes()).map_err(|why| ("settings".to_owned(), why))?;
+        let extras = extras_of(&settings)?;
+        let left = self.iax2.as_ref().and_then(|iax2| iax2.left_ms).map(Span::from_millis);
+        Ok(InstanceConfig {
+            usual_left: left.unwrap_or(extras.longest),
+            zones: extras.zones,
+            connect_timeout: extras.connect_timeout,
+            core: CoreConfig {
+                settings: parsed,
+                classes: extras.classes,
+                tenants: extras.tenants,
+                most_held: self.limits.calls(extras.most_held),
+                longest: extras.longest,
+                ..self.core.clone()
+            },
+            settings,
+            ..self.clone()
+        })
+    }
 }
 
 /// IAX2 of an instance.
@@ -467,6 +501,8 @@
             seed: seed.transpose()?.unwrap_or(1),
             fleet: None,
         },
+        replication: None,
+        settings: form.settings,
     })
 }
 
@@ -500,6 +536,8 @@
     fleet: Option<FleetForm>,
     #[serde(default)]
     store: Option<StoreForm>,
+    #[serde(default)]
+    replication: Option<ReplicationForm>,
     settings: Value,
 }
 
@@ -662,6 +700,7 @@
     }
     let fleet = form.fleet.as_ref().map(FleetForm::checked).transpose()?;
     let store = form.store.map(|store| store.checked(file)).transpose()?;
+    let replication = form.replication.map(|replication| replication.checked(&form.name)).transpose()?;
     let left = form.iax2.as_ref().and_then(|iax2| iax2.left_ms).map(Span::from_millis);
     Ok(InstanceConfig {
         name: form.name,
@@ -690,11 +729,13 @@
             seed: form.seed.unwrap_or_else(any_seed),
             fleet,
         },
+        replication,
+        settings: form.settings,
     })
 }
 
 /// A seed that differs from start to start, for instances whose file names none.
-fn any_seed() -> u64 {
+pub(crate) fn any_seed() -> u64 {
     use std::hash::{BuildHasher, Hasher};
     std::collections::hash_map::RandomState::new().build_hasher().finish()
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,7 @@
 //! The agent's control socket: one JSON request a line in, one JSON answer a line out.
 
 mod client;
+pub mod replication;
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -21,6 +22,8 @@
 use crate::instance::{Bound, Instance, StartError};
 use crate::interface::ServerState;
 
+use replication::ReplicationRequest;
+
 pub use client::{ask, stats_line, AskError};
 
 /// The longest line taken.
@@ -241,11 +244,7 @@
     let (reader, mut writer) = stream.split();
     let mut line = String::new();
     BufReader::new(reader.take(LONGEST)).read_line(&mut line).await?;
-    let reply = match serde_json::from_str::<Request>(&line) {
-        Ok(request) => agent.answer(&request).await,
-        Err(error) => Reply::Error { why: format!("the request cannot be read: {error}") },
-    };
-    let mut text = serde_json::to_string(&reply).unwrap_or_default();
+    let mut text = agent.answer_line(&line).await;
     text.push('\n');
     writer.write_all(text.as_bytes()).await?;
     writer.shutdown().await
@@ -344,6 +343,25 @@
         Err(why)
     }
 
+    /// The answer to a request as it came, in JSON.
+    async fn answer_line(self: &Rc<Self>, line: &str) -> String {
+        let unreadable = |error| Reply::Error { why: format!("the request cannot be read: {error}") };
+        let about_replication = serde_json::from_str::<serde_json::Map<String, serde_json::Value>>(line)
+            .is_ok_and(|request| request.contains_key("replication"));
+        if about_replication {
+            return match serde_json::from_str::<ReplicationRequest>(line) {
+                Ok(request) => serde_json::to_string(&self.answer_replication(&request)),
+                Err(error) => serde_json::to_string(&unreadable(error)),
+            }
+            .unwrap_or_default();
+        }
+        let reply = match serde_json::from_str::<Request>(line) {
+            Ok(request) => self.answer(&request).await,
+            Err(error) => unreadable(error),
+        };
+        serde_json::to_string(&reply).unwrap_or_default()
+    }
+
     async fn answer(self: &Rc<Self>, request: &Request) -> Reply {
         let wanted = request.instance.as_deref();
         if let Some(name) = wanted {
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
+use serde::de::DeserializeOwned;
+use serde::Serialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::UnixStream;
 
@@ -27,6 +29,14 @@
 
 /// Asks the agent at this socket.
 pub async fn ask(path: &Path, request: &Request) -> Result<Reply, AskError> {
+    exchange(path, request).await
+}
+
+/// Sends one request and reads its answer.
+pub(super) async fn exchange<Q: Serialize, A: DeserializeOwned>(
+    path: &Path,
+    request: &Q,
+) -> Result<A, AskError> {
     let nobody = |why| AskError::Nobody { path: path.to_owned(), why };
     let mut stream = UnixStream::connect(path).await.map_err(nobody)?;
     let mut line = serde_json::to_string(request).map_err(|e| AskError::Answer(e.to_string()))?;
--- /dev/null
+++ b/src/control/replication.rs
@@ -0,0 +1,354 @@
+//! Requests about replicated configuration and membership, and the agent's replies.
+
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::client::exchange;
+use super::{Agent, AskError};
+use crate::instance::Instance;
+use crate::replication::{Dot, Epoch, Replica, SourceId, Stamp, MEMBER_PREFIX};
+
+/// What is asked.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase", deny_unknown_fields)]
+pub enum Operation {
+    /// Give a key a value.
+    Set {
+        /// The key.
+        key: String,
+        /// The value.
+        value: Value,
+    },
+    /// Delete a key.
+    Unset {
+        /// The key.
+        key: String,
+    },
+    /// The keys in force, and what is not.
+    Config,
+    /// The members.
+    Members,
+    /// How far a change has come.
+    Acknowledged {
+        /// The change.
+        change: ChangeId,
+    },
+}
+
+/// A request about replication.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReplicationRequest {
+    /// What is asked.
+    pub replication: Operation,
+    /// Of which instance; without it, of the only one that replicates.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<String>,
+}
+
+/// A change, as `SOURCE:EPOCH:NUMBER`; without the epoch: of the epoch that the controller asked knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct ChangeId {
+    /// The number of its source.
+    pub source: u8,
+    /// The epoch of the source's log.
+    pub epoch: Option<u32>,
+    /// Its number in the log.
+    pub number: u32,
+}
+
+/// A text that names no change.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("'{0}' is no change: SOURCE:NUMBER or SOURCE:EPOCH:NUMBER")]
+pub struct ChangeIdError(String);
+
+impl std::str::FromStr for ChangeId {
+    type Err = ChangeIdError;
+
+    fn from_str(text: &str) -> Result<ChangeId, ChangeIdError> {
+        let wrong = || ChangeIdError(text.to_owned());
+        let parts: Vec<&str> = text.split(':').collect();
+        let number = |part: &str| part.parse::<u32>().map_err(|_| wrong());
+        let (source, epoch, last) = match parts[..] {
+            [source, last] => (source, None, last),
+            [source, epoch, last] => (source, Some(number(epoch)?), last),
+            _ => return Err(wrong()),
+        };
+        let source = source.parse().map_err(|_| wrong())?;
+        Ok(ChangeId { source, epoch, number: number(last)? })
+    }
+}
+
+impl TryFrom<String> for ChangeId {
+    type Error = ChangeIdError;
+
+    fn try_from(text: String) -> Result<ChangeId, ChangeIdError> {
+        text.parse()
+    }
+}
+
+impl std::fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self.epoch {
+            Some(epoch) => write!(f, "{}:{epoch}:{}", self.source, self.number),
+            None => write!(f, "{}:{}", self.source, self.number),
+        }
+    }
+}
+
+impl From<ChangeId> for String {
+    fn from(change: ChangeId) -> String {
+        change.to_string()
+    }
+}
+
+impl From<Dot> for ChangeId {
+    fn from(dot: Dot) -> ChangeId {
+        ChangeId { source: dot.source.0, epoch: Some(dot.epoch.0), number: dot.number }
+    }
+}
+
+/// A key with a value in force.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EntryView {
+    /// The key.
+    pub key: String,
+    /// The value in force here.
+    pub value: Value,
+    /// The current change of the key.
+    pub change: Option<ChangeId>,
+    /// When it was made, in milliseconds since 1970.
+    pub at_ms: u64,
+}
+
+/// A key whose current value is not in force here.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RejectedView {
+    /// The key.
+    pub key: String,
+    /// Why.
+    pub why: String,
+}
+
+/// A change that lost against one made on another side.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConflictView {
+    /// The key.
+    pub key: String,
+    /// The change that is current.
+    pub winner: ChangeId,
+    /// The change that is not.
+    pub loser: ChangeId,
+    /// What the loser would have set; `null`: nothing, it deleted the key.
+    pub lost_value: Option<Value>,
+}
+
+/// The configuration that a replica holds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConfigView {
+    /// The instance.
+    pub instance: String,
+    /// Whether it has caught up with the others.
+    pub caught_up: bool,
+    /// Keys with a value in force.
+    pub entries: Vec<EntryView>,
+    /// Keys whose current value is not in force here.
+    pub rejected: Vec<RejectedView>,
+    /// The latest conflicts.
+    pub conflicts: Vec<ConflictView>,
+    /// The last change applied of each source.
+    pub version: Vec<ChangeId>,
+    /// A hash of all entries, the same wherever they are the same.
+    pub hash: String,
+}
+
+/// A member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[allow(missing_docs)] // the names say it
+pub struct MemberView {
+    pub name: String,
+    pub address: String,
+    pub region: String,
+    pub zone: String,
+    pub service: String,
+    /// The number of the source that hears its heartbeats.
+    pub home: u8,
+    pub incarnation: u32,
+    /// Its own number, if it is a source.
+    pub source: Option<u8>,
+}
+
+/// How far a change has come.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcknowledgedView {
+    /// The change.
+    pub change: ChangeId,
+    /// Whether it is in force at every member.
+    pub everywhere: bool,
+    /// Members that are not known to have it.
+    pub missing: u32,
+    /// Some of them.
+    pub missing_names: Vec<String>,
+    /// Members that have it and do not use it.
+    pub rejecting: u32,
+    /// Some of them.
+    pub rejecting_names: Vec<String>,
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "answer", rename_all = "lowercase")]
+pub enum ReplicationReply {
+    /// To `set` and `unset`.
+    Accepted {
+        /// The change that was made.
+        change: ChangeId,
+    },
+    /// To `config`.
+    Config(ConfigView),
+    /// To `members`.
+    Members {
+        /// The members, by name.
+        members: Vec<MemberView>,
+    },
+    /// To `acknowledged`.
+    Acknowledged(AcknowledgedView),
+    /// It could not be done.
+    Error {
+        /// Why.
+        why: String,
+    },
+}
+
+/// Asks the agent at this socket.
+pub async fn ask_replication(
+    path: &Path,
+    request: &ReplicationRequest,
+) -> Result<ReplicationReply, AskError> {
+    exchange(path, request).await
+}
+
+impl Agent {
+    /// Answers a request about replication.
+    pub(super) fn answer_replication(&self, request: &ReplicationRequest) -> ReplicationReply {
+        let answered = self.replicating(request.instance.as_deref());
+        let answered = answered.and_then(|instance| answer(&instance, &request.replication));
+        answered.unwrap_or_else(|why| ReplicationReply::Error { why })
+    }
+
+    /// The instance that is asked.
+    fn replicating(&self, wanted: Option<&str>) -> Result<Instance, String> {
+        let running = self.running.borrow();
+        let at_work = running.iter().filter(|r| !r.done.get());
+        if let Some(name) = wanted {
+            let found = at_work.map(|r| &r.instance).find(|instance| instance.name() == name);
+            return found.cloned().ok_or_else(|| format!("no instance is named '{name}'"));
+        }
+        let replicating: Vec<&Instance> = at_work.map(|r| &r.instance).filter(|i| i.replicates()).collect();
+        match replicating[..] {
+            [] => Err("no instance has [instance.replication] in the file".to_owned()),
+            [only] => Ok(only.clone()),
+            _ => Err("several instances replicate: name one".to_owned()),
+        }
+    }
+}
+
+fn answer(instance: &Instance, operation: &Operation) -> Result<ReplicationReply, String> {
+    let accepted = |dot: Dot| ReplicationReply::Accepted { change: dot.into() };
+    let off = || format!("instance '{}' has no [instance.replication] in the file", instance.name());
+    match operation {
+        Operation::Set { key, value } => {
+            instance.propose(key, Some(value.to_string().as_bytes())).map(accepted)
+        }
+        Operation::Unset { key } => instance.propose(key, None).map(accepted),
+        Operation::Config => {
+            let view = instance.replica(|replica, reasons| {
+                let rejected = replica.rejected_keys().map(|key| RejectedView {
+                    key: key.to_owned(),
+                    why: reasons.get(key).cloned().unwrap_or_default(),
+                });
+                config_view(instance.name(), replica, rejected.collect())
+            });
+            view.map(ReplicationReply::Config).ok_or_else(off)
+        }
+        Operation::Members => {
+            let members = instance.replica(|replica, _| members_view(replica));
+            members.map(|members| ReplicationReply::Members { members }).ok_or_else(off)
+        }
+        Operation::Acknowledged { change } => {
+            let view = instance.replica(|replica, _| acknowledged_view(replica, *change));
+            view.map(ReplicationReply::Acknowledged).ok_or_else(off)
+        }
+    }
+}
+
+fn json_of(value: &[u8]) -> Value {
+    serde_json::from_slice(value).unwrap_or_else(|_| Value::from(String::from_utf8_lossy(value)))
+}
+
+fn config_view(instance: &str, replica: &Replica, rejected: Vec<RejectedView>) -> ConfigView {
+    let entries = replica.values("").filter(|(key, _)| !key.starts_with(MEMBER_PREFIX));
+    let entry = |(key, value): (&str, &[u8])| {
+        let stamp: Option<Stamp> = replica.stamp(key);
+        EntryView {
+            key: key.to_owned(),
+            value: json_of(value),
+            change: stamp.map(|stamp| stamp.dot.into()),
+            at_ms: stamp.map_or(0, |stamp| stamp.millis),
+        }
+    };
+    let conflicts = replica.conflicts().map(|conflict| ConflictView {
+        key: conflict.key.to_string(),
+        winner: conflict.winner.dot.into(),
+        loser: conflict.loser.dot.into(),
+        lost_value: conflict.lost_value.as_deref().map(json_of),
+    });
+    let version = replica.version().iter().filter(|(_, version)| version.number > 0);
+    let last = |(source, version): (SourceId, crate::replication::SourceVersion)| ChangeId {
+        source: source.0,
+        epoch: Some(version.epoch.0),
+        number: version.number,
+    };
+    ConfigView {
+        instance: instance.to_owned(),
+        caught_up: replica.is_caught_up(),
+        entries: entries.map(entry).collect(),
+        rejected,
+        conflicts: conflicts.collect(),
+        version: version.map(last).collect(),
+        hash: format!("{:016x}", replica.state_hash()),
+    }
+}
+
+fn members_view(replica: &Replica) -> Vec<MemberView> {
+    let view = |member: &crate::replication::Member| MemberView {
+        name: member.name.to_string(),
+        address: member.record.address.to_string(),
+        region: member.record.region.to_string(),
+        zone: member.record.zone.to_string(),
+        service: member.record.service.to_string(),
+        home: member.record.home.0,
+        incarnation: member.record.incarnation,
+        source: member.record.source.map(|source| source.0),
+    };
+    let mut members: Vec<MemberView> = replica.members().map(view).collect();
+    members.sort_by(|a, b| a.name.cmp(&b.name));
+    members
+}
+
+fn acknowledged_view(replica: &Replica, change: ChangeId) -> AcknowledgedView {
+    let source = SourceId(change.source);
+    let epoch = change.epoch.map_or_else(|| replica.version().get(source).epoch, Epoch);
+    let dot = Dot { source, epoch, number: change.number };
+    let acknowledgement = replica.acknowledged(dot);
+    AcknowledgedView {
+        change: dot.into(),
+        everywhere: acknowledgement.is_everywhere(),
+        missing: acknowledgement.missing,
+        missing_names: acknowledgement.missing_names,
+        rejecting: acknowledgement.rejecting,
+        rejecting_names: acknowledgement.rejecting_names,
+    }
+}
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -9,6 +9,7 @@
 mod open;
 mod operators;
 mod reload;
+mod replication;
 mod tally;
 
 use std::cell::{Cell, RefCell};
@@ -21,7 +22,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
 
-use crate::config::{Iax2Config, InstanceConfig};
+use crate::config::{Iax2Config, InstanceConfig, ReplicationConfig};
 use crate::core::{Client, Core, Effect, FrontKind, HostLine, Input, Protocol, WirePart, CAUSE_CLEARED};
 use crate::counters::Counters;
 use crate::directory::bulletin::Cursor;
@@ -46,6 +47,7 @@
 use keep::Keeper;
 pub use keep::StoreConfig;
 pub use open::{Bound, StartError};
+use replication::Replication;
 use tally::Tally;
 
 /// How often the end of the last calls is looked for while stopping.
@@ -103,6 +105,7 @@
     peer_listen: Option<SocketAddr>,
     iax2: Option<Iax2Config>,
     store: Option<StoreConfig>,
+    replication: Option<ReplicationConfig>,
 }
 
 struct Shared {
@@ -130,6 +133,8 @@
     /// What may wait to be written to all call servers.
     server_bytes: Budget,
     connect_timeout: Cell<Duration>,
+    /// Replicated configuration and membership; `None`: off.
+    replication: Option<Replication>,
 }
 
 /// A handle on a controller that runs.
@@ -173,6 +178,9 @@
         if let Some(socket) = peer_socket {
             spawn_local(self.clone().hear_peers(socket));
         }
+        if self.0.replication.is_some() {
+            spawn_local(self.clone().replicate());
+        }
         let stopped = async {
             tokio::select! {
                 _ = stop => {}
@@ -191,6 +199,7 @@
             _ = self.hand_over(&doors) => {}
         }
         timer.abort();
+        self.leave_replication();
         // Whoever still holds a handle must not hold the sockets: another process may want the addresses.
         self.0.ended.set(true);
         let mut state = self.0.state.borrow_mut();
--- a/src/instance/open.rs
+++ b/src/instance/open.rs
@@ -19,6 +19,7 @@
 use crate::front::iax2::{Callers, Usual};
 use crate::instance::handover::{Before, Doors, Unfinished};
 use crate::instance::keep::Keeper;
+use crate::instance::replication::Replication;
 use crate::instance::{BoundTo, Clock, Followed, Instance, Shared, State, Tally};
 use crate::net::guests::Guests;
 use crate::net::pool::Pool;
@@ -107,6 +108,14 @@
             }
             None => (None, None),
         };
+        let replication = match &config.replication {
+            Some(replicated) => {
+                let listen = replicated.listen;
+                let socket = UdpSocket::bind(listen).await.map_err(fail("replication.listen", listen))?;
+                Some((replicated, socket))
+            }
+            None => None,
+        };
         let mut inherited = before.inherit(&config);
         let mut given = inherited.as_mut();
         let listener = listener.or_else(|| given.as_mut().and_then(|all| all.listener.take()));
@@ -148,6 +157,9 @@
             keeper,
             lines: BTreeMap::new(),
         };
+        let clock = Clock::from(inherited.as_ref().map(|all| all.now()).unwrap_or_default());
+        let replication = replication
+            .map(|(replicated, socket)| Replication::new(&config, replicated, socket, clock.now()));
         let shared = Shared {
             bound_to: BoundTo {
                 name: config.name.clone(),
@@ -156,10 +168,11 @@
                 peer_listen: config.peer_listen,
                 iax2: config.iax2.clone(),
                 store: config.store.clone(),
+                replication: config.replication.clone(),
             },
             followed: watch::Sender::new(Followed::of(&config)),
             heard: RefCell::default(),
-            clock: Clock::from(inherited.as_ref().map(|all| all.now()).unwrap_or_default()),
+            clock,
             state: RefCell::new(state),
             rearm: Notify::new(),
             leave: Notify::new(),
@@ -171,6 +184,7 @@
             caller_bytes,
             server_bytes,
             connect_timeout: Cell::new(Duration::from_micros(config.connect_timeout.0)),
+            replication,
         };
         let instance = Instance(Rc::new(shared));
         let left = inherited.map(|all| instance.inherit(all, &config)).unwrap_or_default();
--- a/src/instance/operators.rs
+++ b/src/instance/operators.rs
@@ -114,6 +114,9 @@
         if let Some(keeper) = &state.keeper {
             text.push_str(&keeper.lines());
         }
+        if let Some(replication) = &self.0.replication {
+            text.push_str(&replication.figures());
+        }
         text
     }
 
--- a/src/instance/reload.rs
+++ b/src/instance/reload.rs
@@ -19,9 +19,21 @@
 }
 
 impl Instance {
-    /// Takes over a configuration that was read anew: the bulletin and DNS-SD to follow, what is known, peers, limits
+    /// Takes over a configuration that was read anew, with the replicated settings laid over it. Returns the keys that
+    /// only a restart can change and that stay as they were.
+    pub fn reload(&self, config: InstanceConfig) -> Vec<&'static str> {
+        if self.0.replication.is_none() {
+            return self.take_over(config);
+        }
+        let in_force = self.lay_over(config.clone());
+        let kept = self.take_over(in_force);
+        self.file_taken_over(config, &kept);
+        kept
+    }
+
+    /// Takes over a configuration: the bulletin and DNS-SD to follow, what is known, peers, limits
     /// and settings. Returns the keys that only a restart can change and that stay as they were.
-    pub fn reload(&self, mut config: InstanceConfig) -> Vec<&'static str> {
+    pub(super) fn take_over(&self, mut config: InstanceConfig) -> Vec<&'static str> {
         let mut kept = Vec::new();
         {
             let mut state = self.0.state.borrow_mut();
@@ -48,6 +60,7 @@
                 ("console", running.console == config.console),
                 ("peer_listen", running.peer_listen == config.peer_listen),
                 ("store", running.store == config.store),
+                ("replication", running.replication == config.replication),
                 (
                     "iax2.listen",
                     running.iax2.as_ref().map(|i| i.listen) == config.iax2.as_ref().map(|i| i.listen),
