--- a/src/instance/replication.rs
+++ b/src/instance/replication.rs
@@ -108,7 +108,11 @@
     /// Logs what happened; whether a setting has another value in force.
     fn take_events(&self, instance: &str) -> bool {
         let events = self.replica.borrow_mut().take_events();
-        events.into_iter().map(|event| self.take_event(instance, event)).filter(|changed| *changed).count() > 0
+        let mut changed = false;
+        for event in events {
+            changed |= self.take_event(instance, event);
+        }
+        changed
     }
 
     fn take_event(&self, instance: &str, event: Event) -> bool {
