Scale run: calls that are out at the end are waited for

Seen: the test with three real controllers failed once on a busy machine: 73 calls of 75 stood. The other two had been placed just before the end and were not waited for. Changed: the run waits for the answers that are out, as long as a caller would; the check that all calls stood is as strict as before.

--- a/crates/lockpoint-lab/src/scale/real.rs
+++ b/crates/lockpoint-lab/src/scale/real.rs
@@ -27,6 +27,8 @@
 const SERVERS: u16 = 6;
 /// The real controllers are asked for a call each so often.
 const CALL_EVERY: Duration = Duration::from_millis(500);
+/// A caller waits for so many milliseconds.
+const CALLER_WAITS_MS: u64 = 5_000;
 /// How often the real controllers are asked for what they know.
 const ASK_EVERY: Duration = Duration::from_millis(100);
 /// The simulation is driven on at least so often.
@@ -67,7 +69,7 @@
     scene.simulation.act_at(told, Action::Kill(dies));
     let (drain, death, false_suspicions) = scene.watch(told, dies, &callers).await;
     let seconds = since.elapsed().as_secs_f64();
-    let stood = scene.stood();
+    let stood = scene.answers().await;
     let row = scene.row(seconds, &before, stood);
     let (drain, death) = (Known::After(drain), Known::After(death));
     let row = Row { drain, death, false_suspicions, ..row };
@@ -202,11 +204,20 @@
             self.calls += 1;
             let sid = Sid::numbered(0x5ca1_e000 + self.calls).to_string();
             let dest = (self.calls % u64::from(SERVERS)) as u16;
-            caller.open(&sid, 5_000, dest, "v=0\r\n").await;
+            caller.open(&sid, CALLER_WAITS_MS, dest, "v=0\r\n").await;
         }
     }
 
-    /// Calls of the real controllers that stood.
+    /// Waits for the answers that are out, as long as a caller would; calls of the real controllers that stood.
+    async fn answers(&mut self) -> u64 {
+        let end = Instant::now() + Duration::from_millis(CALLER_WAITS_MS);
+        while self.stood() < self.calls && Instant::now() < end {
+            self.drive_for(ASK_EVERY).await;
+        }
+        self.stood()
+    }
+
+    /// Calls of the real controllers that stood so far.
     fn stood(&self) -> u64 {
         let answers = self.world.all().into_iter().filter(|seen| matches!(seen.what, What::Ready(_)));
         answers.count() as u64
