--- a/crates/lockpoint-lab/src/scale/control_plane.rs
+++ b/crates/lockpoint-lab/src/scale/control_plane.rs
@@ -29,7 +29,7 @@
     pub member: u16,
     /// Where it is reached.
     pub address: Address,
-    /// Where the sources are reached.
+    /// Where the sources are reached, the preferred one first: of the same region and another zone.
     pub sources: Vec<Address>,
     /// Its region.
     pub region: u16,
@@ -55,6 +55,8 @@
     fn is_in_force(&self, change: ChangeId) -> bool;
     /// Whether a process is a member, as far as is known here.
     fn knows_member(&self, address: Address) -> bool;
+    /// Members that are known here.
+    fn members_known(&self) -> usize;
     /// Entries that it holds, as a measure of its memory that no clock touches.
     fn entries_held(&self) -> usize;
 }
--- a/crates/lockpoint-lab/src/scale/real.rs
+++ b/crates/lockpoint-lab/src/scale/real.rs
@@ -256,6 +256,7 @@
             call_micros: 0.0,
             memory_kib: Some(memory.max),
             entries: 0,
+            members_known: None,
             drain: Known::NotAsked,
             death: Known::NotAsked,
             change: Known::NoMechanism,
--- a/crates/lockpoint-lab/src/scale/replicated.rs
+++ b/crates/lockpoint-lab/src/scale/replicated.rs
@@ -136,6 +136,10 @@
         self.members.contains(&address)
     }
 
+    fn members_known(&self) -> usize {
+        self.members.len()
+    }
+
     fn entries_held(&self) -> usize {
         self.replica.values("").count()
     }
--- a/crates/lockpoint-lab/src/scale/run.rs
+++ b/crates/lockpoint-lab/src/scale/run.rs
@@ -96,6 +96,7 @@
     directory_bytes: Vec<u64>,
     call_time: Duration,
     calls: u64,
+    members_known: Option<(usize, f64)>,
     thread_time: Duration,
     began: Instant,
 }
@@ -108,6 +109,7 @@
             directory_bytes: simulation.directories.bytes_out.clone(),
             call_time: simulation.call_time(),
             calls: simulation.calls.0,
+            members_known: simulation.members_known(),
             thread_time: thread_time(),
             began: Instant::now(),
         }
@@ -157,6 +159,7 @@
                 / (simulation.calls.0 - self.calls).max(1) as f64,
             memory_kib: None,
             entries: simulation.most_entries_held(),
+            members_known: self.members_known,
             drain: merged(followed.drains.values()),
             death: merged(followed.deaths.values()),
             change,
--- a/crates/lockpoint-lab/src/scale/simulation/mod.rs
+++ b/crates/lockpoint-lab/src/scale/simulation/mod.rs
@@ -117,7 +117,8 @@
     members: HashMap<Address, u16>,
     address_book: Rc<AddressBook>,
     addresses: Vec<Address>,
-    sources: Vec<Address>,
+    /// How many sources there are; they have the numbers after the controllers.
+    sources: u16,
     next_address: u32,
     dead: BTreeSet<u16>,
     /// Members that have another address than the first lists say.
@@ -192,7 +193,7 @@
             suspected: vec![0; slots],
             members: addresses.iter().copied().zip(0..).collect(),
             address_book: Rc::new(AddressBook::new(addresses[..usize::from(config.controllers)].to_vec())),
-            sources: addresses[usize::from(config.controllers)..].to_vec(),
+            sources,
             next_address: u32::from(members),
             addresses,
             dead: BTreeSet::new(),
@@ -301,6 +302,15 @@
         }
     }
 
+    /// Members that the control planes of the controllers know: the fewest that one knows, and the mean.
+    pub fn members_known(&self) -> Option<(usize, f64)> {
+        let alive = self.controllers.iter().take(usize::from(self.config.controllers)).flatten();
+        let planes = alive.filter_map(|controller| controller.control_plane.as_ref());
+        let known: Vec<usize> = planes.map(|plane| plane.members_known()).collect();
+        let fewest = known.iter().copied().min()?;
+        Some((fewest, known.iter().sum::<usize>() as f64 / known.len() as f64))
+    }
+
     /// The control planes of the machines set aside for control, for their memory.
     pub fn source_entries_held(&self) -> usize {
         let sources = self.controllers.iter().skip(usize::from(self.config.controllers)).flatten();
--- a/crates/lockpoint-lab/src/scale/simulation/processes.rs
+++ b/crates/lockpoint-lab/src/scale/simulation/processes.rs
@@ -9,6 +9,7 @@
 use crate::scale::address::Address;
 use crate::scale::control_plane::{ControlPlaneConfig, Role};
 use crate::scale::controller::{Channel, HollowController, CLIENT};
+use crate::scale::directory::MACHINES;
 
 impl Simulation {
     /// A controller's process ends; whatever it had to say is lost.
@@ -39,7 +40,7 @@
             role,
             member,
             address,
-            sources: self.sources.clone(),
+            sources: self.sources_by_preference(member),
             region: self.config.topology.region_of(member),
             zone: self.config.topology.zone_of(member),
             incarnation: incarnation(now),
@@ -58,6 +59,21 @@
         self.input(member, Input::List { source: Source::Bulletin, whole: true, hosts });
     }
 
+    /// The sources, the best home of a member first: of its region, so that a cut does not part them, and of another zone,
+    /// so that a zone does not fail together with the homes of its members.
+    fn sources_by_preference(&self, member: u16) -> Vec<Address> {
+        let topology = self.config.topology;
+        let preference = |source: u16| {
+            let other_region = topology.region_of(source) != topology.region_of(member);
+            let same_zone = topology.zone_of(source) == topology.zone_of(member);
+            (other_region, same_zone, (source + member) % MACHINES)
+        };
+        let first = self.config.controllers;
+        let mut sources: Vec<u16> = (first..first + self.sources).collect();
+        sources.sort_by_key(|source| preference(*source));
+        sources.into_iter().map(|source| self.addresses[usize::from(source)]).collect()
+    }
+
     /// A source takes no calls and no part in the fleet: its core stays idle.
     pub(super) fn core_config(&self, member: u16, is_source: bool, seed: u64) -> CoreConfig {
         let fleet = FleetConfig {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -122,6 +122,10 @@
         self.directory.borrow().contains(&address)
     }
 
+    fn members_known(&self) -> usize {
+        self.directory.borrow().len()
+    }
+
     fn entries_held(&self) -> usize {
         self.in_force.len()
     }
