--- a/crates/lockpoint-lab/src/scale/report.rs
+++ b/crates/lockpoint-lab/src/scale/report.rs
@@ -148,6 +148,11 @@
         checks(self).into_iter().filter(|(_, passed)| !passed).map(|(check, _)| check.name()).collect()
     }
 
+    /// Its line of the table in Markdown.
+    pub fn line(&self) -> String {
+        format!("| {} |", self.cells().join(" | "))
+    }
+
     fn cells(&self) -> Vec<String> {
         let failures = self.failures();
         vec![
@@ -225,7 +230,7 @@
     let _ = writeln!(text, "| {} |", HEADER.join(" | "));
     let _ = writeln!(text, "|{}", " --- |".repeat(HEADER.len()));
     for row in rows {
-        let _ = writeln!(text, "| {} |", row.cells().join(" | "));
+        let _ = writeln!(text, "{}", row.line());
     }
     text
 }
--- a/crates/lockpoint-lab/src/scale/run.rs
+++ b/crates/lockpoint-lab/src/scale/run.rs
@@ -200,7 +200,8 @@
                 let began = Instant::now();
                 let row = measure(options, controllers, fault, make.clone());
                 let took = began.elapsed().as_secs_f64();
-                println!("{controllers} controllers, {}: took {took:.1} s", fault.name());
+                // Said at once: a run that is ended early leaves what it has measured.
+                println!("{} took {took:.1} s", row.line());
                 if let Ok(mut done) = done.lock() {
                     done.push((number, row));
                 }
