--- a/crates/lockpoint-lab/src/scale/options.rs
+++ b/crates/lockpoint-lab/src/scale/options.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use clap::Args;
+use lockpoint::interface::Span;
 
 use super::control_plane::MakeControlPlane;
 use super::replicated;
@@ -80,6 +81,9 @@
     /// Simulated seconds measured for each fault, after the warm-up; larger fleets than 400 are measured for less.
     #[arg(long, default_value_t = 24.0)]
     pub seconds: f64,
+    /// Seconds within which the whole fleet starts.
+    #[arg(long, default_value_t = 1.0)]
+    pub start_seconds: f64,
     /// Calls a second that come to each controller; larger fleets than 400 get fewer.
     #[arg(long, default_value_t = 1.0)]
     pub calls: f64,
@@ -111,6 +115,7 @@
             beside_real: 60,
             faults: FAULTS.to_vec(),
             seconds: 24.0,
+            start_seconds: 1.0,
             calls: 1.0,
             control_plane: PlaneChoice::None,
             seed: 1,
@@ -151,6 +156,11 @@
         self.calls * share.min(1.0).powi(2)
     }
 
+    /// The time within which the whole fleet starts.
+    pub fn starts_within(&self) -> Span {
+        Span::from_secs(self.start_seconds)
+    }
+
     /// Says which option cannot be meant.
     pub fn check(&self) -> Result<(), LabError> {
         let wrong = |option: &str, why: &str| Err(LabError::Serves(format!("at option '--{option}': {why}")));
@@ -163,6 +173,9 @@
         if self.regions == 0 || self.zones < self.regions {
             return wrong("zones", "fewer than regions, or none");
         }
+        if !(0.0..=600.0).contains(&self.start_seconds) {
+            return wrong("start-seconds", "not from 0 to 600");
+        }
         if self.real > MOST_REAL {
             return wrong("real", "more than 300 processes");
         }
--- a/crates/lockpoint-lab/src/scale/run.rs
+++ b/crates/lockpoint-lab/src/scale/run.rs
@@ -21,8 +21,8 @@
 use super::traffic::{MeanMax, Traffic};
 use crate::under_test::{beside, used, LabError};
 
-/// When the memory of a fleet is read: all controllers have started by then and hold their lists.
-const MEMORY_AFTER: Span = Span::from_millis(2_000);
+/// How long after the last start the memory of a fleet is read: all controllers hold their lists by then.
+const MEMORY_AFTER: Span = Span::from_millis(1_000);
 
 /// One simulation to run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,6 +49,7 @@
         remote: 0,
         servers,
         services: services::draw(options.services_for(controllers), servers, options.seed),
+        starts_within: options.starts_within(),
         topology: Topology { regions: options.regions, zones: options.zones },
         calls_per_controller: options.calls_for(controllers),
         seed: options.seed,
@@ -75,7 +76,13 @@
 ) -> Row {
     let config = simulation_config(options, controllers, make_control_plane);
     let has_sources = config.make_control_plane.is_some();
-    let fleet = Fleet { controllers, servers: config.servers, topology: config.topology, has_sources };
+    let fleet = Fleet {
+        controllers,
+        servers: config.servers,
+        topology: config.topology,
+        has_sources,
+        starts_within: config.starts_within,
+    };
     let seconds = options.seconds_for(controllers);
     let measured = Span::from_secs(seconds);
     let mut simulation = Simulation::new(config);
@@ -182,7 +189,7 @@
 /// Memory of a controller of a fleet that has just begun to work, in KiB: what the process grew by since its beginning. Sizes go upwards, so that what an earlier one gave back is not counted as free.
 fn memory_kib(options: &Options, controllers: u16, before: u64, make: Option<MakeControlPlane>) -> f64 {
     let mut simulation = Simulation::new(simulation_config(options, controllers, make));
-    simulation.run_until(simulation.began().plus(MEMORY_AFTER));
+    simulation.run_until(simulation.began().plus(options.starts_within()).plus(MEMORY_AFTER));
     let grown = used(std::process::id()).memory.saturating_sub(before);
     grown as f64 / 1_024.0 / f64::from(controllers)
 }
--- a/crates/lockpoint-lab/src/scale/scenario.rs
+++ b/crates/lockpoint-lab/src/scale/scenario.rs
@@ -9,10 +9,10 @@
 use super::simulation::Action;
 use super::topology::{Topology, RACKS};
 
-/// How long a fleet is at work before anything is measured.
-const WARM_UP: Span = Span::from_millis(4_000);
+/// How long a fleet is at work, after its last start, before anything is measured.
+const WARM_UP: Span = Span::from_millis(3_000);
 /// The same with a control plane, whose members join one after the other.
-const WARM_UP_JOINING: Span = Span::from_millis(12_000);
+const WARM_UP_JOINING: Span = Span::from_millis(11_000);
 /// From the beginning of the measurement to the fault, and from there to the news that is followed.
 const STEP: Span = Span::from_millis(1_000);
 /// A zone that restarts is away for this share of the time measured.
@@ -80,6 +80,8 @@
     pub servers: u16,
     /// Where they stand.
     pub topology: Topology,
+    /// The time within which all start.
+    pub starts_within: Span,
     /// Whether machines are set aside for control: they have the numbers after the controllers.
     pub has_sources: bool,
 }
@@ -87,11 +89,8 @@
 impl Fleet {
     /// How long it is at work before anything is measured.
     pub fn warm_up(&self) -> Span {
-        if self.has_sources {
-            WARM_UP_JOINING
-        } else {
-            WARM_UP
-        }
+        let after = if self.has_sources { WARM_UP_JOINING } else { WARM_UP };
+        Span(self.starts_within.0 + after.0)
     }
 }
 
--- a/crates/lockpoint-lab/src/scale/simulation/mod.rs
+++ b/crates/lockpoint-lab/src/scale/simulation/mod.rs
@@ -35,8 +35,6 @@
 
 /// When a simulation begins.
 const BEGIN: Time = Time(1_000_000_000);
-/// Controllers start at drawn moments within this, so that their rounds are not in step.
-const STARTS_WITHIN: Span = Span::from_millis(1_000);
 /// How long a caller waits for an answer.
 const PATIENCE: Span = Span::from_millis(9_000);
 /// A call that stands within this earns its full worth.
@@ -62,6 +60,8 @@
     pub servers: u16,
     /// The services that they carry.
     pub services: Vec<Service>,
+    /// Controllers start at drawn moments within this, so that their rounds are not in step.
+    pub starts_within: Span,
     /// Where all stand.
     pub topology: Topology,
     /// Calls a second that come to each controller.
@@ -210,10 +210,10 @@
         let hollow = simulation.config.controllers - simulation.config.remote;
         let starting = (0..hollow).chain(simulation.config.controllers..members);
         for member in starting {
-            let offset = STARTS_WITHIN.share(chance(&mut simulation.rng));
+            let offset = simulation.config.starts_within.share(chance(&mut simulation.rng));
             simulation.schedule(BEGIN.plus(offset), Event::Start(member));
         }
-        let first = simulation.arrivals.next(BEGIN.plus(STARTS_WITHIN));
+        let first = simulation.arrivals.next(BEGIN.plus(simulation.config.starts_within));
         simulation.schedule(first.at, Event::Arrive(first));
         simulation
     }
