--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 mod lost_zone;
 mod lull;
 mod spoilt;
+mod flood;
 mod half_message;
 mod hang_ups;
 mod slow_bulletin;
@@ -16,6 +17,7 @@
         Some("lull") => lull::run(&log),
         Some("spoilt") => spoilt::run(&log),
         Some("half-message") => half_message::run(&log),
+        Some("flood") => flood::run(&log),
         Some("hang-ups") => hang_ups::run(&log),
         Some("slow-bulletin") => slow_bulletin::run(&log),
         _ => std::process::exit(2),
--- a/review/standin/slow_bulletin.rs
+++ b/review/standin/slow_bulletin.rs
@@ -38,7 +38,7 @@
     bulletin.publish(false, &[host("s0", servers[0].at, 0, "draining", 0)]);
     let told = log.now();
     sleep_ms(20_000);
-    let late: Vec<u64> = servers[0].invited().into_iter().filter(|at| *at > told + 7_300).collect();
+    let late: Vec<u64> = servers[0].invited().into_iter().map(|(at, _)| at).filter(|at| *at > told + 7_300).collect();
     let mut broken = Vec::new();
     if !late.is_empty() {
         broken.push(format!("{} set-ups to s0 later than 7.3 s after its drain, the last after {} ms", late.len(), late.last().unwrap() - told));
