Review: a script that is ended early leaves no process behind

Cause: the cases' run.sh waited for the stand-in in the foreground. Ended early by a signal, it left the stand-in and the controller running for the rest of the case (seen with SIGTERM and SIGINT).

Checks, bounds and disruptions are as they were.

--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -20,6 +20,17 @@
     fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// This process ends with the one that started it (PR_SET_PDEATHSIG, SIGKILL), and after 115 s at the latest. The
+/// controller ends with it in the same way.
+pub fn end_with_parent() {
+    unsafe { prctl(1, 9) };
+    thread::spawn(|| {
+        thread::sleep(Duration::from_secs(115));
+        println!("could not run: not over after 115 s");
+        std::process::exit(2);
+    });
+}
+
 /// Ends a connection with a reset.
 pub fn reset(stream: &TcpStream) {
     let linger: [i32; 2] = [1, 0];
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod slow_bulletin;
 
 fn main() {
+    common::end_with_parent();
     let arguments: Vec<String> = std::env::args().collect();
     let record = arguments.get(2).cloned().unwrap_or_else(|| "/dev/null".to_owned());
     let log = common::Log::create(&record);
