Release the calls of a SIP call server that restarted without refusing a connection

Cause: a refused connection, silence of 6.5 s and the directory's report of a new start can end a call server's calls. Nothing was refused, the first connection to the new process ended the silence, and for SIP the report only closed old connections (Core::directory_update, Trunks::close_old_links): the calls were left. IAX2 legs and calls restored from the store did end on it.

Change: each established call keeps when the connection of its answer was opened. Effect::ServerRestarted ends the calls of connections opened before the reported start and keeps those that the new process has taken since; it is raised whatever state the entry is listed in. Silence keeps its meaning: a sound call server may have nothing to say.

The test of the core that said a restart releases no call is renamed: it still asserts that the core itself releases none, and now also that the adapters are told, in each state. Trunks::connect lost its restart argument, so the sip test of late reports calls Trunks::restarted first.

--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -111,7 +111,10 @@
             self.record_entry(source, &entry);
             let restarted = before
                 .is_some_and(|(started, address)| started != entry.started_ms || address != entry.address);
-            let restarted_at = restarted.then_some(Time(entry.started_ms.saturating_mul(1000)));
+            if restarted {
+                let restarted_at = Time(entry.started_ms.saturating_mul(1000));
+                out.push(Effect::ServerRestarted(server, restarted_at));
+            }
             let (address, protocol, state) = (entry.address, entry.protocol, entry.state);
             self.servers.insert(server, ListedServer { entry, source });
             match state {
@@ -123,10 +126,10 @@
                 }
             }
             match state {
-                ServerState::Ready => out.push(Effect::Connect { server, address, protocol, restarted_at }),
+                ServerState::Ready => out.push(Effect::Connect { server, address, protocol }),
                 ServerState::Draining => {
                     out.push(Effect::CancelQueued(server));
-                    out.push(Effect::Connect { server, address, protocol, restarted_at });
+                    out.push(Effect::Connect { server, address, protocol });
                 }
                 ServerState::Gone => {
                     // Its calls end when it releases them, dies or stays silent: the list is seconds late and may be
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -478,16 +478,24 @@
     }
 }
 
-/// A call server that reappears or is listed as gone for a while may still have its calls. Guards against releases of
-/// calls that are established.
-#[test]
-fn a_listing_as_gone_or_restarted_releases_no_call() {
+/// A call server that is listed as gone may still have its calls. Which calls a restart has ended depends on the
+/// connections that carried their answers, which only the protocol adapters know: the core releases none by itself.
+/// Guards against releases of calls that are established, and against a restart that the adapters are not told of,
+/// whatever the state that the call server is listed in.
+#[rstest]
+#[case(ServerState::Ready)]
+#[case(ServerState::Draining)]
+#[case(ServerState::Gone)]
+fn a_listed_restart_is_reported_to_the_adapters_and_releases_no_call_itself(#[case] restarted: ServerState) {
     let mut drive = Drive::new(1);
     let server = invited(&drive.set_up(1, 9_000)).expect("sent");
     drive.server_event(server, 1, ServerEvent::Answered("y".into()));
-    for (state, born) in [(ServerState::Gone, 0), (ServerState::Ready, 1_000_500)] {
+    for (state, born) in [(ServerState::Gone, 0), (restarted, 1_000_500)] {
         let hosts = vec![line("s0", 0, state, born)];
         let effects = drive.input(Input::List { source: Source::Bulletin, whole: false, hosts });
+        let reports =
+            |e: &&Effect| matches!(e, Effect::ServerRestarted(s, Time(1_000_500_000)) if *s == server);
+        assert_eq!(effects.iter().filter(reports).count(), usize::from(born > 0), "{effects:?}");
         assert!(!effects.iter().any(|e| matches!(e, Effect::Release(..))), "{effects:?}");
     }
     let effects = drive.input(Input::ServerDied(server));
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -276,7 +276,9 @@
     Cancel(ServerId, Sid),
     /// End an established call, with this cause.
     Bye(ServerId, Sid, u16),
-    /// Keep a connection to this call server. A call server that has restarted knows nothing of earlier connections.
+    /// This call server's process was started at the given time: it has no calls or connections from before.
+    ServerRestarted(ServerId, Time),
+    /// Keep a connection to this call server.
     Connect {
         /// The call server.
         server: ServerId,
@@ -284,8 +286,6 @@
         address: SocketAddr,
         /// The protocol used with it.
         protocol: Protocol,
-        /// Its start time, if this update shows that it has restarted or has a new address.
-        restarted_at: Option<Time>,
     },
     /// Cancel the set-ups that have not been sent to this call server yet.
     CancelQueued(ServerId),
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -470,11 +470,15 @@
                     self.sip.bye(server, sid, cause, now, todo);
                     self.iax2_servers.hang_up(server, sid, cause, now, todo);
                 }
-                Effect::Connect { server, address, protocol: Protocol::Sip, restarted_at } => {
-                    self.sip.connect(server, address, restarted_at, todo);
+                Effect::ServerRestarted(server, restarted_at) => {
+                    self.sip.restarted(server, restarted_at, todo);
+                    self.iax2_servers.restarted(server, restarted_at, now, todo);
                 }
-                Effect::Connect { server, address, protocol: Protocol::Iax2, restarted_at } => {
-                    self.iax2_servers.set_address(server, address, restarted_at, now, todo);
+                Effect::Connect { server, address, protocol: Protocol::Sip } => {
+                    self.sip.connect(server, address, todo);
+                }
+                Effect::Connect { server, address, protocol: Protocol::Iax2 } => {
+                    self.iax2_servers.set_address(server, address);
                 }
                 Effect::CancelQueued(server) => {
                     self.sip.cancel_queued(server, todo);
--- a/src/upstream/iax2/mod.rs
+++ b/src/upstream/iax2/mod.rs
@@ -61,17 +61,13 @@
         self.account = account.cloned();
     }
 
-    /// Sets the address of a call server. If it has restarted, its calls from before that are lost.
-    pub fn set_address(
-        &mut self,
-        server: ServerId,
-        address: SocketAddr,
-        restarted_at: Option<Time>,
-        now: Time,
-        output: &mut AdapterOutput,
-    ) {
+    /// Sets the address of a call server.
+    pub fn set_address(&mut self, server: ServerId, address: SocketAddr) {
         self.addresses.insert(server, address);
-        let Some(restarted_at) = restarted_at else { return };
+    }
+
+    /// A call server has restarted: its calls from before that are lost.
+    pub fn restarted(&mut self, server: ServerId, restarted_at: Time, now: Time, output: &mut AdapterOutput) {
         let is_old = |(key, (no, _)): &(&Key, &(u16, Call))| {
             key.0 == server && !self.legs.received_since(*no, restarted_at)
         };
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -13,7 +13,9 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::core::{AttemptError, DeadlineOwner, Input, Progress, ServerEvent, Sid, TransportError};
+use crate::core::{
+    AttemptError, DeadlineOwner, Input, LoadValues, Progress, ServerEvent, Sid, TransportError, CAUSE_CUT,
+};
 use crate::interface::{ServerId, Span, Time};
 use crate::net::conn::CloseReason;
 use crate::net::queue::{Budget, WriteQueue};
@@ -135,6 +137,10 @@
     /// Numbers called, of the established calls at the call server.
     #[serde(rename = "standing")]
     established: BTreeMap<Sid, Rc<str>>,
+    /// When the connections were opened on which the established calls were answered: a call belongs to the
+    /// process that accepted its connection.
+    #[serde(default)]
+    answered_on: BTreeMap<Sid, Time>,
     wanted: bool,
     #[serde(rename = "again")]
     reconnect_delay: Span,
@@ -147,6 +153,31 @@
 }
 
 impl Trunk {
+    /// Adds a call that was answered on a connection opened at `connected_at`.
+    fn add_established(&mut self, sid: Sid, number: Rc<str>, connected_at: Time) {
+        self.established.insert(sid, number);
+        self.answered_on.insert(sid, connected_at);
+    }
+    /// Removes a call that has ended; returns its number if it was established.
+    fn remove_established(&mut self, sid: Sid) -> Option<Rc<str>> {
+        self.answered_on.remove(&sid);
+        self.established.remove(&sid)
+    }
+    /// Removes all calls and returns them with their numbers.
+    fn take_established(&mut self) -> BTreeMap<Sid, Rc<str>> {
+        self.answered_on.clear();
+        std::mem::take(&mut self.established)
+    }
+    /// Removes the calls of the processes that ran before `restarted_at`. A call of which it is not known on
+    /// which connection it was answered counts as one of them.
+    fn take_established_before(&mut self, restarted_at: Time) -> Vec<Sid> {
+        let is_old = |sid: &Sid| self.answered_on.get(sid).is_none_or(|opened| *opened < restarted_at);
+        let old: Vec<Sid> = self.established.keys().copied().filter(is_old).collect();
+        for sid in &old {
+            self.remove_established(*sid);
+        }
+        old
+    }
     /// The connection for releases: an open one, preferably one with input since its last set-up.
     fn link_for_releases(&mut self) -> Option<&mut Link> {
         let open = self.links.values_mut().filter(|l| l.connected_at.is_some());
@@ -241,38 +272,44 @@
         self.max_links = max_links;
     }
 
-    /// Keeps a connection open to a call server. One that restarted has lost the connections opened before
-    /// that. Those opened since belong to the new process: the list reports a restart seconds late, and
-    /// releases in transit on them would be lost if they were closed.
-    pub fn connect(
-        &mut self,
-        server: ServerId,
-        address: SocketAddr,
-        restarted_at: Option<Time>,
-        output: &mut AdapterOutput,
-    ) {
-        if let Some(restarted_at) = restarted_at {
-            self.close_old_links(server, address, restarted_at, output);
+    /// Keeps a connection open to a call server. At a new address all its connections belong to another
+    /// process and are closed.
+    pub fn connect(&mut self, server: ServerId, address: SocketAddr, output: &mut AdapterOutput) {
+        if self.trunks.get(&server).is_some_and(|trunk| trunk.address != address) {
+            self.close_links(server, |_| true, output);
         }
         let trunk = self.trunks.entry(server).or_insert_with(|| Trunk {
             address,
             links: BTreeMap::new(),
             waiting_messages: VecDeque::new(),
             established: BTreeMap::new(),
+            answered_on: BTreeMap::new(),
             wanted: true,
             reconnect_delay: RECONNECT_DELAY.0,
             last_seen: Time::default(),
             silence_watched: false,
         });
         (trunk.address, trunk.wanted) = (address, true);
-        if restarted_at.is_some() {
-            trunk.reconnect_delay = RECONNECT_DELAY.0;
-        }
         if trunk.links.is_empty() {
             self.open_link(server, output);
         }
     }
 
+    /// A directory reports that a call server restarted. The connections opened before that are lost, and so are
+    /// the calls that were answered on them: the new process does not have them and will never release them.
+    /// Connections opened since belong to the new process: the report is seconds late, and releases in transit
+    /// on them would be lost if they were closed.
+    pub fn restarted(&mut self, server: ServerId, restarted_at: Time, output: &mut AdapterOutput) {
+        let is_old = |link: &Link| link.connected_at.is_some_and(|since| since < restarted_at);
+        self.close_links(server, is_old, output);
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        trunk.reconnect_delay = RECONNECT_DELAY.0;
+        for sid in trunk.take_established_before(restarted_at) {
+            let cut = ServerEvent::Released(CAUSE_CUT, LoadValues::new());
+            output.inputs.push(Input::Server(server, sid, cut));
+        }
+    }
+
     /// Opens no more connections to a call server. The present ones stay until they end, as releases may
     /// still arrive on them.
     pub fn stop_connecting(&mut self, server: ServerId) {
@@ -293,7 +330,7 @@
         output: &mut AdapterOutput,
     ) {
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
-        trunk.established.insert(sid, number);
+        trunk.add_established(sid, number, now);
         if !std::mem::replace(&mut trunk.silence_watched, true) {
             trunk.last_seen = trunk.last_seen.max(now);
             output.deadlines.push((
@@ -344,7 +381,7 @@
     /// it is alive.
     fn give_up_calls(&mut self, server: ServerId, output: &mut AdapterOutput) {
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
-        for (sid, number) in std::mem::take(&mut trunk.established) {
+        for (sid, number) in trunk.take_established() {
             if trunk.wanted && trunk.waiting_messages.len() < MAX_WAITING_MESSAGES {
                 let reason = "Reason: Q.850;cause=41\r\n";
                 trunk.waiting_messages.push_back(request("BYE", &number, sid, (2, "BYE"), reason, ""));
@@ -356,15 +393,9 @@
     /// Another call server has taken over the address: the process is gone, and its calls with it.
     pub fn replaced(&mut self, server: ServerId, output: &mut AdapterOutput) {
         self.stop_connecting(server);
-        let links = self.trunks.get(&server).map(|t| t.links.keys().copied().collect::<Vec<_>>());
-        for link in links.into_iter().flatten() {
-            if let Some(queue) = self.queue_of(link) {
-                queue.abort();
-            }
-            self.end_link(server, link, LinkEnd::Closed(CloseReason::ClosedHere), Time::default(), output);
-        }
+        self.close_links(server, |_| true, output);
         if let Some(trunk) = self.trunks.get_mut(&server) {
-            trunk.established.clear();
+            trunk.take_established();
             output.inputs.push(Input::ServerDied(server));
         }
     }
@@ -378,25 +409,15 @@
         }
     }
 
-    fn close_old_links(
-        &mut self,
-        server: ServerId,
-        address: SocketAddr,
-        restarted_at: Time,
-        output: &mut AdapterOutput,
-    ) {
+    /// Closes the connections that meet a condition.
+    fn close_links(&mut self, server: ServerId, closes: impl Fn(&Link) -> bool, output: &mut AdapterOutput) {
         let Some(trunk) = self.trunks.get(&server) else { return };
-        let address_changed = trunk.address != address;
-        let old = trunk
-            .links
-            .iter()
-            .filter(|(_, l)| address_changed || l.connected_at.is_some_and(|since| since < restarted_at));
-        let old: Vec<u64> = old.map(|(no, _)| *no).collect();
-        for link in old {
-            if let Some(l) = self.trunks.get(&server).and_then(|t| t.links.get(&link)) {
-                l.queue.abort();
-            }
-            self.end_link(server, link, LinkEnd::Closed(CloseReason::ClosedHere), Time::default(), output);
+        let closing = trunk.links.iter().filter(|(_, link)| closes(link));
+        let closing: Vec<(u64, Rc<WriteQueue>)> =
+            closing.map(|(no, link)| (*no, link.queue.clone())).collect();
+        for (no, queue) in closing {
+            queue.abort();
+            self.end_link(server, no, LinkEnd::Closed(CloseReason::ClosedHere), Time::default(), output);
         }
     }
 
@@ -510,7 +531,7 @@
     /// Releases an established call on any open connection, or on the next one.
     pub fn bye(&mut self, server: ServerId, sid: Sid, cause: u16, now: Time, output: &mut AdapterOutput) {
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
-        let number = trunk.established.remove(&sid);
+        let number = trunk.remove_established(sid);
         let extra = format!("Reason: Q.850;cause={cause}\r\n");
         let number = number.as_deref().unwrap_or(NO_NUMBER);
         let bytes = request("BYE", number, sid, (2, "BYE"), &extra, "");
@@ -588,7 +609,7 @@
         if dead && none_open {
             // Otherwise callers would keep established calls at a process that has died: it sends no
             // releases, its connections are only reset.
-            trunk.established.clear();
+            trunk.take_established();
             output.inputs.push(Input::ServerDied(server));
         }
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
@@ -731,6 +752,7 @@
                     number = others.find_map(|l| l.set_ups.remove(&sid)).map(|set_up| set_up.number);
                 }
                 let Some(link) = trunk.links.get_mut(&no) else { return };
+                let connected_at = link.connected_at.unwrap_or(now);
                 let requested = number.is_some();
                 let known = number.or_else(|| trunk.established.get(&sid).cloned());
                 let to = known.as_deref().unwrap_or(NO_NUMBER);
@@ -739,7 +761,7 @@
                     (200..=299, Ok(body)) => {
                         // Only for calls that were requested here, not for a second copy or an unknown name.
                         if let Some(number) = known.filter(|_| requested) {
-                            trunk.established.insert(sid, number);
+                            trunk.add_established(sid, number, connected_at);
                         }
                         if requested && !std::mem::replace(&mut trunk.silence_watched, true) {
                             let key = u64::from(server.address);
@@ -771,7 +793,7 @@
                 ("BYE", Some(sid)) => {
                     link.queue.push(response(200, "OK", message), None);
                     link.set_ups.remove(&sid);
-                    trunk.established.remove(&sid);
+                    trunk.remove_established(sid);
                     let event = ServerEvent::Released(message.cause.unwrap_or(16), message.report.clone());
                     output.inputs.push(Input::Server(server, sid, event));
                 }
--- a/src/upstream/sip/tests.rs
+++ b/src/upstream/sip/tests.rs
@@ -24,7 +24,7 @@
     fn new() -> (TestBench, u64) {
         let mut bench = TestBench { trunks: Trunks::default(), now: at(0) };
         let mut output = AdapterOutput::default();
-        bench.trunks.connect(SERVER, ([127, 0, 0, 1], 1).into(), None, &mut output);
+        bench.trunks.connect(SERVER, ([127, 0, 0, 1], 1).into(), &mut output);
         (bench, output.connects[0].0)
     }
     fn invite(&mut self, n: u64) -> AdapterOutput {
@@ -139,15 +139,49 @@
     let second = bench.invite(2).connects[0].0;
     bench.open(second);
     let mut output = AdapterOutput::default();
-    bench.trunks.connect(SERVER, ([127, 0, 0, 1], 1).into(), Some(at(1_500)), &mut output);
+    bench.trunks.restarted(SERVER, at(1_500), &mut output);
+    bench.trunks.connect(SERVER, ([127, 0, 0, 1], 1).into(), &mut output);
     assert!(bench.trunks.queue_of(link).is_none() && bench.trunks.queue_of(second).is_some());
     let [Input::Server(_, name, ServerEvent::Lost(_))] = &output.inputs[..] else { panic!("{output:?}") };
     assert_eq!((*name, output.connects.len()), (sid(1), 0));
     // At another address all connections belong to the old process.
-    bench.trunks.connect(SERVER, ([127, 0, 0, 2], 1).into(), Some(at(1_500)), &mut output);
+    bench.trunks.connect(SERVER, ([127, 0, 0, 2], 1).into(), &mut output);
     assert!(bench.trunks.queue_of(second).is_none() && output.connects.len() == 1);
 }
 
+/// The new process has none of the calls of the one before it, and never releases them. Those that were answered on a
+/// connection opened since belong to it and stay, as does a call of the old process that has ended already.
+#[test]
+fn report_of_a_restart_cuts_only_the_calls_answered_on_connections_opened_before_it() {
+    let (mut bench, link) = TestBench::new();
+    bench.open(link);
+    bench.establish(link, 1);
+    bench.establish(link, 2);
+    bench.trunks.bye(SERVER, sid(2), 16, bench.now, &mut AdapterOutput::default());
+    bench.now = at(2_000);
+    let next = bench.close(link, LinkEnd::Closed(CloseReason::Reset)).connects.first().map(|link| link.0);
+    let next = next.unwrap_or_else(|| {
+        let mut output = AdapterOutput::default();
+        bench.trunks.reconnect(1, &mut output);
+        output.connects[0].0
+    });
+    bench.open(next);
+    bench.establish(next, 3);
+    let mut output = AdapterOutput::default();
+    bench.trunks.restarted(SERVER, at(1_500), &mut output);
+    let cut = |input: &Input| match input {
+        Input::Server(SERVER, sid, ServerEvent::Released(CAUSE_CUT, _)) => Some(*sid),
+        _ => None,
+    };
+    assert_eq!(output.inputs.iter().filter_map(cut).collect::<Vec<_>>(), [sid(1)]);
+    assert!(bench.trunks.queue_of(next).is_some() && output.connects.is_empty());
+    // The same report again, and one of an earlier start, change nothing.
+    let mut again = AdapterOutput::default();
+    bench.trunks.restarted(SERVER, at(1_500), &mut again);
+    bench.trunks.restarted(SERVER, at(500), &mut again);
+    assert!(again.inputs.is_empty() && bench.trunks.queue_of(next).is_some(), "{again:?}");
+}
+
 #[test]
 fn calls_of_a_server_that_sends_messages_are_kept() {
     let (mut bench, link) = TestBench::new();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use lockpoint::core::Sid;
 use lockpoint::counters::Counters;
 use lockpoint::instance::{BoundInstance, Instance};
-pub use lockpoint_lab::bulletin::{list_entry, Bulletin, ResponseFault};
+pub use lockpoint_lab::bulletin::{list_entry, list_entry_started_at, Bulletin, ResponseFault};
 pub use lockpoint_lab::callers::Caller;
 pub use lockpoint_lab::event_log::{on_one_thread, EventKind, EventLog, RecordedEvent};
 pub use lockpoint_lab::sip::{ServerBehaviour, SipServer};
