Keep connections with pending answers when read buffers or messages fall short

Cause: all connections share one pool of read buffers; read_some ended whichever came when it was short (NoBuffer). serve ended connections for their input without asking whether answers are pending.

Change: a short buffer is taken from the caller's connection that needs it least and has no pending answer, in the order that makes room for descriptors; call servers' connections have a pool of their own; incomplete or unreadable input ends a connection only once its pending answers are written. The pools together stay within the former share.

--- a/src/config.rs
+++ b/src/config.rs
@@ -20,7 +20,7 @@
 use crate::interface::Span;
 use crate::logs::LogConfig;
 use crate::net::peers::Peers;
-use crate::net::pool::BUFFER_BYTES;
+use crate::net::pool::{PoolLimits, BUFFER_BYTES};
 use crate::secrets;
 use crate::wire::parse_settings;
 pub use replication::ReplicationConfig;
@@ -433,9 +433,15 @@
     pub fn memory_share(&self) -> usize {
         self.memory_mb.clamp(8, 4_096) * (1 << 20) / 8
     }
-    /// Maximum number of read buffers in use.
-    pub fn buffers(&self) -> usize {
-        self.memory_share() / BUFFER_BYTES
+    /// Read buffers of callers' connections: half of their share of the memory, and up to two thirds where answers are
+    /// pending.
+    pub fn client_buffers(&self) -> PoolLimits {
+        let all = self.memory_share() / BUFFER_BYTES;
+        PoolLimits { usual: all / 2, max: all * 2 / 3 }
+    }
+    /// Read buffers of connections to call servers: the last third of the share.
+    pub fn server_buffers(&self) -> PoolLimits {
+        PoolLimits::same_for_all(self.memory_share() / BUFFER_BYTES / 3)
     }
     /// Maximum number of calls that wait for an answer, limited by the setting `most-held` and by memory: each takes
     /// about 1 KB without its description.
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -130,7 +130,10 @@
     /// Callers' connections that are closed here and wait for the caller to close.
     closing_connections: Cell<usize>,
     limits: Cell<Limits>,
-    pool: BufferPool,
+    /// Read buffers of callers' connections.
+    client_buffers: BufferPool,
+    /// Read buffers of connections to call servers, separate so that callers cannot use them up.
+    server_buffers: BufferPool,
     /// Bytes that may wait to be written to all callers.
     caller_bytes: Budget,
     /// Bytes that may wait to be written to all call servers.
--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -86,6 +86,23 @@
         {}
     }
 
+    /// Frees the read buffer of a caller's connection by closing it: the least used of those on which part of a message
+    /// has come and no answer is pending. Guards against clients that hold all buffers with half a message each.
+    fn free_client_buffer(&mut self) -> bool {
+        let State { client_connections, core, connections, counters, .. } = self;
+        let connection = |no| connections.get(&(Side::Caller, no));
+        let holds_buffer = |no| connection(no).is_some_and(|line| line.has_partial_message());
+        let has_calls = |no| core.has_established_calls(client_of(no));
+        let Some(closed) = client_connections.close_least_needed(holds_buffer, has_calls) else {
+            return false;
+        };
+        if let Some(line) = connection(closed) {
+            line.discard_partial_message();
+        }
+        counters.turned_away += 1;
+        true
+    }
+
     /// One of a connection's set-ups needs no answer any more. During a drain the connection may now end.
     pub(super) fn answer_settled(&mut self, no: u64, told: bool, now: Time, todo: &mut AdapterOutput) {
         self.client_connections.set_up_settled(no, told, now);
@@ -182,7 +199,7 @@
     async fn run_client(self, no: u64, line: Rc<Connection>, guard: ClientGuard) {
         let Some(queue) = self.0.state.borrow().client_connections.queue_of(no) else { return };
         let mut reader = ClientReader { instance: self.clone(), no };
-        let end = serve(&line, &queue, &self.0.pool, &mut reader).await;
+        let end = serve(&line, &queue, &self.0.client_buffers, &mut reader).await;
         if !matches!(end, CloseReason::Closed | CloseReason::ClosedHere) {
             self.0.state.borrow_mut().counters.lost_connections += 1;
         }
@@ -193,7 +210,7 @@
         drop(guard);
         if in_order {
             self.0.closing_connections.set(self.0.closing_connections.get() + 1);
-            close_gracefully(&line, &self.0.pool, &mut reader).await;
+            close_gracefully(&line, &self.0.client_buffers, &mut reader).await;
             self.0.closing_connections.set(self.0.closing_connections.get() - 1);
         }
     }
@@ -309,4 +326,18 @@
     fn message_timeout(&self) -> Duration {
         MESSAGE_TIMEOUT
     }
+    fn has_pending_answers(&self) -> bool {
+        self.instance.0.state.borrow().client_connections.has_pending_answers(self.no)
+    }
+    fn stop_reading(&mut self) {
+        let now = self.instance.0.clock.now();
+        self.instance.apply(|state, todo| {
+            if let Some(at) = state.client_connections.stop_reading(self.no, now) {
+                todo.deadlines.push((at, DeadlineOwner::ClientConnections, self.no));
+            }
+        });
+    }
+    fn free_buffer(&mut self) -> bool {
+        self.instance.0.state.borrow_mut().free_client_buffer()
+    }
 }
--- a/src/instance/handover.rs
+++ b/src/instance/handover.rs
@@ -205,7 +205,11 @@
             .filter(|no| !connections.contains_key(&(Side::Caller, *no)));
         pending.lost.extend(without_socket.map(|no| (Side::Caller, no)));
         for ((side, no), (stream, read)) in connections {
-            let Some(line) = Connection::resume(stream, &read, &self.0.pool).map(Rc::new) else {
+            let buffers = match side {
+                Side::Caller => &self.0.client_buffers,
+                Side::Server => &self.0.server_buffers,
+            };
+            let Some(line) = Connection::resume(stream, &read, buffers).map(Rc::new) else {
                 pending.lost.push((side, no));
                 continue;
             };
--- a/src/instance/links.rs
+++ b/src/instance/links.rs
@@ -60,7 +60,7 @@
 
     async fn serve_link(&self, no: u64, line: &Connection, queue: &WriteQueue) -> LinkEnd {
         let mut reader = LinkReader { instance: self.clone(), no };
-        LinkEnd::Closed(serve(line, queue, &self.0.pool, &mut reader).await)
+        LinkEnd::Closed(serve(line, queue, &self.0.server_buffers, &mut reader).await)
     }
 
     /// Serves a connection to a call server that was taken over from the predecessor.
--- a/src/instance/reload.rs
+++ b/src/instance/reload.rs
@@ -91,7 +91,8 @@
             state.iax2_front.expire(now, todo);
             state.register(&config, now, todo);
         });
-        self.0.pool.set_max(config.limits.buffers());
+        self.0.client_buffers.set_limits(config.limits.client_buffers());
+        self.0.server_buffers.set_limits(config.limits.server_buffers());
         self.0.caller_bytes.set_max(config.limits.memory_share());
         self.0.server_bytes.set_max(config.limits.memory_share());
         // Events of the file after the last one taken come first: the bulletin continues their numbers.
--- a/src/net/client_connections.rs
+++ b/src/net/client_connections.rs
@@ -200,12 +200,10 @@
         let connection = self.connections.get_mut(&no)?;
         connection.malformed += 1;
         connection.answered |= answerable;
-        if connection.ending || (answerable && connection.malformed < MAX_MALFORMED) {
+        if answerable && connection.malformed < MAX_MALFORMED {
             return None;
         }
-        connection.ending = true;
-        connection.queue.stop_reading();
-        Some(now.plus(MALFORMED_CLOSE_DELAY))
+        self.stop_reading(no, now)
     }
     /// Whether the connection is not read any more.
     pub fn is_ending(&self, no: u64) -> bool {
@@ -287,18 +285,39 @@
         IdleCheck::Closed
     }
 
-    /// Makes room by closing the connection that needs it least, among those without pending answers: first
-    /// those that never got an answer, then those without an established call, then the others; within each
-    /// group the one idle longest.
+    /// Whether set-ups of the connection wait for their answers.
+    pub fn has_pending_answers(&self, no: u64) -> bool {
+        self.connections.get(&no).is_some_and(|connection| connection.unanswered > 0)
+    }
+
+    /// Stops reading set-ups from a connection: it ends once no answer is pending. Returns when to check it.
+    pub fn stop_reading(&mut self, no: u64, now: Time) -> Option<Time> {
+        let connection = self.connections.get_mut(&no).filter(|connection| !connection.ending)?;
+        connection.ending = true;
+        connection.queue.stop_reading();
+        Some(now.plus(MALFORMED_CLOSE_DELAY))
+    }
+
+    /// Makes room by closing the connection that needs it least.
     pub fn make_room(&mut self, carries: impl Fn(u64) -> bool) -> bool {
+        self.close_least_needed(|_| true, carries).is_some()
+    }
+
+    /// Closes the connection that is needed least, among those that are `eligible` and have no pending answers: first
+    /// those that never got an answer, then those without an established call, then the others; within each
+    /// group the one idle longest. Returns its number.
+    pub fn close_least_needed(
+        &mut self,
+        eligible: impl Fn(u64) -> bool,
+        carries: impl Fn(u64) -> bool,
+    ) -> Option<u64> {
         let idle = self.connections.iter().filter(|(_, c)| c.unanswered == 0 && !c.queue.is_closing());
-        let least =
-            idle.min_by_key(|(no, c)| (!c.ending, c.answered, c.answered && carries(**no), c.last_used));
-        let Some(no) = least.map(|(no, _)| *no) else { return false };
-        if let Some(connection) = self.connections.remove(&no) {
-            connection.queue.abort();
-        }
-        true
+        let least = idle
+            .filter(|(no, _)| eligible(**no))
+            .min_by_key(|(no, c)| (!c.ending, c.answered, c.answered && carries(**no), c.last_used));
+        let no = least.map(|(no, _)| *no)?;
+        self.connections.remove(&no)?.queue.abort();
+        Some(no)
     }
 }
 
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -29,7 +29,7 @@
     /// A message did not arrive completely within the message timeout.
     #[error("incomplete message")]
     Incomplete,
-    /// All buffers of the pool were in use.
+    /// All buffers of the pool were in use, and no other connection needed its buffer less.
     #[error("no free buffer")]
     NoBuffer,
 }
@@ -48,6 +48,17 @@
     fn end_of_stream(&mut self) -> bool;
     /// Longest time from the first to the last byte of a message.
     fn message_timeout(&self) -> Duration;
+    /// Whether the peer waits for answers on this connection. It is then not closed because of its input.
+    fn has_pending_answers(&self) -> bool {
+        false
+    }
+    /// The input cannot be used any more, but answers are pending: from now on only what needs no answer is read,
+    /// and the connection ends once they are written.
+    fn stop_reading(&mut self) {}
+    /// Frees a buffer of a connection that needs it less. `false`: there is none.
+    fn free_buffer(&mut self) -> bool {
+        false
+    }
 }
 
 /// A connection's socket, with the partial message read from it.
@@ -83,6 +94,10 @@
     pub fn has_partial_message(&self) -> bool {
         self.partial.borrow().is_some()
     }
+    /// Frees the buffer of a partial message; the connection must be closed then.
+    pub fn discard_partial_message(&self) {
+        self.partial.take();
+    }
     /// The bytes read that do not form a complete message yet.
     pub fn partial_message(&self) -> Vec<u8> {
         self.partial.borrow().as_ref().map(|buffer| buffer.filled().to_vec()).unwrap_or_default()
@@ -96,6 +111,9 @@
 /// arrived.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// How often a connection whose message is overdue is checked for answers that are still pending on it.
+const PENDING_ANSWERS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Serves a connection until it ends.
 pub async fn serve(
     connection: &Connection,
@@ -139,7 +157,13 @@
         let ready = tokio::select! {
             _ = queue.changed() => continue,
             // A message that never completes would hold a buffer, and block all that follows it, for good.
-            _ = sleep_until(message_deadline) => return CloseReason::Incomplete,
+            _ = sleep_until(message_deadline) => {
+                if !reader.has_pending_answers() {
+                    return CloseReason::Incomplete;
+                }
+                message_deadline = Some(Instant::now() + PENDING_ANSWERS_CHECK_INTERVAL);
+                continue;
+            }
             _ = sleep_until(next_read.filter(|_| paused)) => continue,
             ready = stream.ready(interest) => ready,
         };
@@ -162,6 +186,10 @@
                     }
                     Ok(Read::End) if reader.end_of_stream() => (reading, message_deadline) = (false, None),
                     Ok(Read::End) => return CloseReason::Closed,
+                    Err(CloseReason::Malformed | CloseReason::NoBuffer) if reader.has_pending_answers() => {
+                        reader.stop_reading();
+                        message_deadline = None;
+                    }
                     Err(end) => return end,
                 }
                 // Otherwise a peer that sends at full speed would starve the other connections.
@@ -274,7 +302,10 @@
     if buffer.filled().is_empty() {
         return Ok(Read::Complete);
     }
-    if !pool.may_hold_partial() {
+    let may_hold = pool.may_hold_partial()
+        || reader.free_buffer()
+        || (reader.has_pending_answers() && pool.may_hold_partial_beyond_limit());
+    if !may_hold {
         return Err(CloseReason::NoBuffer);
     }
     *connection.partial.borrow_mut() = Some(buffer);
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -8,8 +8,8 @@
 use rstest::rstest;
 use serde_json::json;
 use support::{
-    list_entry, name, on_one_thread, Bulletin, Caller, Controller, EventKind, EventLog, ServerBehaviour,
-    SipServer,
+    in_time, list_entry, name, on_one_thread, Bulletin, Caller, Controller, EventKind, EventLog,
+    ScriptedServer, ServerBehaviour, SipServer,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -169,3 +169,78 @@
         assert_eq!((completed, standing), (1, 1));
     });
 }
+
+/// Half a message of a client, or a message that never ends, with an answer pending on the same connection.
+#[derive(Debug, Clone, Copy)]
+enum Unusable {
+    Half,
+    Endless,
+}
+
+/// Guards against clients that hold every read buffer with half a message each and so end the connections of the others:
+/// a caller whose message comes in two pieces, and a call server whose answer does (review case 2). A connection on which
+/// an answer is pending stays until it is written, even if its own input cannot be used.
+#[rstest]
+fn half_messages_of_many_clients_end_no_connection_with_pending_answers(
+    #[values(Unusable::Half, Unusable::Endless)] unusable: Unusable,
+) {
+    on_one_thread(async {
+        let world = EventLog::default();
+        let server = ScriptedServer::start("s0").await;
+        let (mut buffers, mut clients) = (0, 0);
+        let (controller, _bulletin) = Controller::with_scripted_servers(&world, &[&server], |config| {
+            config.limits.memory_mb = 8;
+            (buffers, clients) = (config.limits.client_buffers().max, config.limits.client_connections());
+            support::long_setup_target(config);
+        })
+        .await;
+        assert!(2 * buffers < clients, "{buffers} buffers, {clients} connections");
+        let mut link = server.accept_ready().await;
+        let caller = Caller::connect(&world, "usual", controller.at).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        assert_eq!(link.expect_request("INVITE").await, name(1));
+        let other = Caller::connect(&world, "unusable", controller.at).await;
+        other.open(&name(2), 9_000, 0, "x").await;
+        assert_eq!(link.expect_request("INVITE").await, name(2));
+        let mut bad = Vec::new();
+        for n in 0..2 * buffers {
+            let line = open(&name(100 + n as u64), ("x", "x"));
+            let mut stream = TcpStream::connect(controller.at).await.expect("the controller listens");
+            stream.write_all(&line[..line.len() / 2]).await.expect("written");
+            bad.push(stream);
+        }
+        let full =
+            |i: &lockpoint::instance::Instance| i.counters().turned_away + i.counters().lost_connections > 0;
+        controller.wait_for("buffers are short", full).await;
+        let line = open(&name(3), ("x", "x"));
+        let (first, rest) = line.split_at(line.len() / 2);
+        caller.send(first).await;
+        match unusable {
+            Unusable::Half => other.send(first).await,
+            Unusable::Endless => other.send(&vec![b'x'; 64 << 10]).await,
+        }
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        caller.send(rest).await;
+        assert_eq!(link.expect_request("INVITE").await, name(3));
+        // The answers come in two pieces, too.
+        for call in [1, 2, 3] {
+            let answer = format!(
+                "SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 1 INVITE\r\nContent-Length: 1\r\n\r\ny",
+                name(call)
+            );
+            let (first, rest) = answer.split_at(answer.len() / 2);
+            link.send(first).await;
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            link.send(rest).await;
+            assert_eq!(world.final_answer(&name(call)).await.kind, EventKind::Ready("y".into()));
+        }
+        assert!(!caller.is_disconnected());
+        // Nothing is pending on it any more.
+        in_time("the end of the connection with unusable input", async {
+            while !other.is_disconnected() {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+    });
+}
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -10,7 +10,7 @@
 use lockpoint::config::{DnsSdConfig, Iax2Config};
 use lockpoint::interface::{ServerState, Span};
 use lockpoint::net::conn::{serve, Connection, MalformedInput, MessageReader};
-use lockpoint::net::pool::BufferPool;
+use lockpoint::net::pool::{BufferPool, PoolLimits};
 use lockpoint::net::queue::WriteQueue;
 use rstest::rstest;
 use serde_json::{json, Value};
@@ -432,8 +432,11 @@
         in_time("writable", line.stream().writable()).await.expect("writable");
         assert!(queue.push("x".into(), None));
         let mut reader = RecordingReader(received_bytes.clone());
-        let end =
-            in_time("the end of the stream", serve(&line, &queue, &BufferPool::new(64), &mut reader)).await;
+        let end = in_time(
+            "the end of the stream",
+            serve(&line, &queue, &BufferPool::new(PoolLimits::same_for_all(64)), &mut reader),
+        )
+        .await;
         assert_eq!(received_bytes.borrow().as_slice(), b"an answer", "ended: {end}");
     });
 }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -78,7 +78,7 @@
     // Four such shares: buffers, descriptions, and the write queues of either side.
     assert!(
         4 * limits.memory_share() <= (memory_mb << 20) / 2
-            && limits.buffers() * 16_640 <= limits.memory_share()
+            && (limits.client_buffers().max + limits.server_buffers().max) * 16_640 <= limits.memory_share()
     );
     assert!(limits.pending_calls(20_000) * 1_024 <= limits.memory_share() && limits.pending_calls(10) == 10);
 }
--- a/tests/pieces.rs
+++ b/tests/pieces.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use serde_json::json;
 use support::{
-    list_entry, name, on_one_thread, Caller, Controller, EventKind, EventLog, RecordedEvent, ServerBehaviour,
+    list_entry, name, on_one_thread, Caller, Controller, EventKind, EventLog, RecordedEvent, ScriptedServer,
+    ServerBehaviour,
 };
 
 const DESCRIPTION: &str = "v=0\r\n\u{e9}\u{1f0a1} \"quoted\"\r\n\r\n";
@@ -117,3 +119,39 @@
         assert_eq!(world.final_answer(&name(2)).await.kind, EventKind::Ready("a".into()));
     });
 }
+
+/// Guards against answers that are lost because their caller pauses within its next message for longer than a message may
+/// take (review, `half-message`). The message is read to its end, and answered too.
+#[test]
+fn a_caller_silent_within_a_message_gets_the_answers_it_waits_for() {
+    on_one_thread(async {
+        let world = EventLog::default();
+        let server = ScriptedServer::start("s0").await;
+        let (controller, _bulletin) =
+            Controller::with_scripted_servers(&world, &[&server], support::long_setup_target).await;
+        let mut link = server.accept_ready().await;
+        let caller = Caller::connect(&world, "c", controller.at).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        link.expect_request("INVITE").await;
+        let attrs =
+            json!({"class": "judge-call", "left": "9000", "key": "7f", "extras": "dest:0;width:1;via:-1"});
+        let line = format!("{}\n", json!({"msg": "open", "sid": name(2), "attrs": attrs, "text": "x"}));
+        let (begun, rest) = line.as_bytes().split_at(60);
+        caller.send(begun).await;
+        // Longer than the 1.5 s within which a message has to be whole on a connection that waits for nothing.
+        tokio::time::sleep(Duration::from_millis(2_000)).await;
+        link.replies(&name(1), 100, "").await; // or the call server's connection would count as unresponsive
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert!(!caller.is_disconnected(), "an answer is pending on its connection");
+        caller.send(rest).await;
+        link.expect_request("INVITE").await;
+        link.answers(&name(1), "y").await;
+        link.answers(&name(2), "z").await;
+        for (call, description) in [(1, "y"), (2, "z")] {
+            assert_eq!(world.final_answer(&name(call)).await.kind, EventKind::Ready(description.into()));
+        }
+        // With no answer pending, a message that stays incomplete ends its connection as before.
+        caller.send(begun).await;
+        controller.wait_for("its connection has been closed", |i| i.counters().clients == 0).await;
+    });
+}
