Probe a silent call server with all connections open by replacing one of them

Cause: check_silence opens a connection to learn whether a silent call server is there, and only where there are fewer than MAX_LINKS; with four, silence counted as loss.

Change: the connection without set-ups that has been silent longest gives way to the new one. While one is coming up no other is replaced, so a machine that has vanished loses its calls at the same time as before.

Test: silent_server_with_all_connections_open_is_offered_another_in_place_of_one failed before (calls given up at 7 s) and passes.

--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -372,9 +372,26 @@
             return;
         }
         let opening = trunk.links.values().any(|l| l.connected_at.is_none());
-        if silent >= PROBE_AFTER && trunk.wanted && !opening && trunk.links.len() < MAX_LINKS {
-            self.open_link(server, output);
+        if silent >= PROBE_AFTER && trunk.wanted && !opening {
+            self.open_probe_link(server, now, output);
+        }
+    }
+
+    /// Opens a connection to see whether a silent call server is there. Where it has as many as allowed, the new one takes
+    /// the place of the one without set-ups that has been silent longest: a sound call server with nothing to send
+    /// would otherwise lose its calls.
+    fn open_probe_link(&mut self, server: ServerId, now: Time, output: &mut AdapterOutput) {
+        let Some(trunk) = self.trunks.get(&server) else { return };
+        if trunk.links.len() >= MAX_LINKS {
+            let idle = trunk.links.iter().filter(|(_, link)| link.set_ups.is_empty());
+            let longest_silent = idle.min_by_key(|(_, link)| link.last_seen);
+            let Some((no, queue)) = longest_silent.map(|(no, link)| (*no, link.queue.clone())) else {
+                return;
+            };
+            queue.abort();
+            self.end_link(server, no, LinkEnd::Closed(CloseReason::ClosedHere), now, output);
         }
+        self.open_link(server, output);
     }
 
     /// Gives up the calls of a silent call server. Their releases are kept for the next connection, in case
--- a/src/upstream/sip/tests.rs
+++ b/src/upstream/sip/tests.rs
@@ -343,6 +343,44 @@
     assert!(links[1..].iter().all(|link| bench.trunks.queue_of(*link).is_some()));
 }
 
+/// A sound call server whose connections are all open and which has nothing to send keeps its calls: it answers a new
+/// connection. One that answers none loses them in time (review, `lull`).
+#[test]
+fn silent_server_with_all_connections_open_is_offered_another_in_place_of_one() {
+    let (mut bench, links) = all_links_open();
+    for n in 100..108 {
+        bench.trunks.cancel(SERVER, sid(n));
+    }
+    bench.establish(links[0], 1);
+    let connections = |bench: &TestBench| bench.trunks.trunks[&SERVER].links.len();
+    let mut replaced = 0;
+    for second in 1..=30 {
+        bench.now = at(second * 1_000);
+        let output = bench.check_silence();
+        assert!(!reports_death(&output), "after {second} s");
+        for (link, _) in output.connects {
+            bench.open(link);
+            replaced += 1;
+        }
+        assert!(connections(&bench) <= MAX_LINKS);
+    }
+    assert!(replaced >= 9, "{replaced} connections in 30 s");
+    let silent_since = bench.trunks.trunks[&SERVER].last_seen;
+    let mut dies_at = None;
+    for second in 31..=40 {
+        bench.now = at(second * 1_000).min(silent_since.plus(SILENCE_TIMEOUT));
+        let output = bench.check_silence();
+        if reports_death(&output) {
+            dies_at = Some(bench.now);
+            break;
+        }
+        for (link, _) in output.connects {
+            bench.close(link, LinkEnd::ConnectFailed);
+        }
+    }
+    assert_eq!(dies_at, Some(silent_since.plus(SILENCE_TIMEOUT)));
+}
+
 /// A set-up that is half written when its connection ends may have run, and is not sent again. Those behind
 /// it were not written, and are moved to another connection.
 #[test]
