Bound the permits for cold call servers by what was accepted per line in service

Cause: UsualRate divides the accepts of 10 s by the size that is ready now, so it doubles when half of the capacity leaves and keeps that (A); a restarted controller goes by all calls that come, refused ones too, for 3 s (B).

Change: the rate stays. CapacityRate counts each accept by the lines in service at its time; the load that permits allow (rate times window, and permits kept) stays below that rate times the settings' overload factor and cold share. Where it is reached, permits expire sooner before they come more slowly. B: accepts, while a warm call server takes calls. UsualRate moves from timers.rs to rates.rs beside it; the mean of the reported lines is computed in one place.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,6 +86,7 @@
 pub mod net;
 pub mod outages;
 pub mod random;
+pub mod rates;
 pub mod recovery;
 pub mod replication;
 pub mod rules;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,8 +23,9 @@
     Span, Time, TimerToken,
 };
 use crate::random::Sample;
+use crate::rates::{CapacityRate, UsualRate};
 use crate::shares::TenantShares;
-use crate::timers::{LogLimiter, Timers, UsualRate};
+use crate::timers::{LogLimiter, Timers};
 use crate::window::{DemandByRank, Window};
 
 /// K of the adaptive throttling; the document's example has 1.5. Lower values refuse calls on noise. With 1.5
@@ -107,6 +108,8 @@
 /// values unused permits of all controllers add up to a burst, with lower ones they expire before a call
 /// needs them.
 pub const COLD_PERMIT_LIFETIME: f64 = 0.5;
+/// The same where the bound on a cold server's load leaves no room for more.
+const MIN_COLD_PERMIT_LIFETIME: f64 = 0.25;
 /// The ramp of a cold server keeps room for calls of higher worth as if this fraction had to be refused,
 /// lowest worth first: a call of a class that such a cut would hit needs correspondingly more permits in the
 /// bucket, so permits closer to their expiry. With higher values calls of the lowest worth hardly get
@@ -184,6 +187,11 @@
         }
     }
 
+    /// Its lines; `None` if it has not reported any.
+    fn reported_lines(&self) -> Option<f64> {
+        self.lines.filter(|&lines| lines > 0.0)
+    }
+
     /// Age of the oldest outstanding set-up that is not lost, so may still be in the server's queue.
     fn oldest_age(&self, now: Time) -> Span {
         let queued = self.outstanding.iter().filter(|attempt| !self.is_lost(attempt));
@@ -296,6 +304,9 @@
     demand: DemandByRank,
     /// The usual rate at which a server of mean size accepts calls from this controller.
     usual: UsualRate,
+    /// The highest rate of accepts per line in service; it bounds the permits for cold servers.
+    #[serde(default = "new_capacity_rate")]
+    capacity_rate: CapacityRate,
     /// Each tenant's share of the accepted calls.
     shares: TenantShares,
     /// Permit requests to append to the actions of the current event.
@@ -305,6 +316,10 @@
     log_limiter: LogLimiter,
 }
 
+fn new_capacity_rate() -> CapacityRate {
+    CapacityRate::new(LONG_WINDOW)
+}
+
 impl Controller {
     /// A controller that knows only its settings. The same seed and events give the same actions.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -323,6 +338,7 @@
             busy_numbers: BTreeMap::new(),
             demand: DemandByRank::new(LONG_WINDOW),
             usual: UsualRate::new(LONG_WINDOW),
+            capacity_rate: new_capacity_rate(),
             shares,
             permit_requests: Vec::new(),
             log_limiter: LogLimiter::default(),
@@ -690,19 +706,25 @@
         let initial_share = cold_share.clamp(0.0, 1.0);
         let overload_factor = if overload_factor > 0.0 { overload_factor } else { 1.0 };
         let safe_factor = COLD_SAFETY_FACTOR * overload_factor / (1.0 + COLD_PERMIT_LIFETIME);
-        let usual = self.usual_rate() * self.size(id);
         let is_cold = self.servers.get(&id).is_some_and(|s| self.is_cold(s));
+        let usual =
+            if is_cold { self.usual_rate_for_cold_server() } else { self.usual_rate() } * self.size(id);
         let warm_factor = WARM_DIVERSION_FACTOR / self.fleet_factor();
         let server = self.servers.get_mut(&id)?;
-        let rate = if is_cold {
+        let (rate, lifetime) = if is_cold {
             let warmth = now.since(server.entry.started).secs() / warm_up.secs();
             let capacity_share = initial_share + (1.0 - initial_share) * warmth;
-            usual * capacity_share * COLD_RATE_FACTOR.min(safe_factor)
+            let measured = self.capacity_rate.rate(server.reported_lines());
+            let max_load = capacity_share * measured.map_or(f64::INFINITY, |rate| rate * overload_factor);
+            let rate = capacity_share * usual * COLD_RATE_FACTOR.min(safe_factor);
+            // Where the bound is reached, permits expire sooner before they come more slowly.
+            let rate = rate.min(max_load / (1.0 + MIN_COLD_PERMIT_LIFETIME));
+            (rate, COLD_PERMIT_LIFETIME.min(max_load / rate - 1.0))
         } else {
-            usual * warm_factor
+            (usual * warm_factor, COLD_PERMIT_LIFETIME)
         };
         let overload_time = self.settings.overload_time.max(self.shortest_target);
-        let capacity = rate * COLD_PERMIT_LIFETIME * overload_time.secs();
+        let capacity = rate * lifetime * overload_time.secs();
         let bucket = server.permits.get_or_insert(TokenBucket::new(initial_permits, now));
         bucket.refill(now, rate, capacity, || self.rng.exponential());
         Some((*bucket, rate, capacity))
@@ -746,6 +768,37 @@
         self.usual.rate(self.now, arrivals, size).max(MIN_USUAL_RATE)
     }
 
+    /// The usual rate that permits for cold servers are derived from. Until it is known, it is estimated from
+    /// accepts where warm servers take calls: a restarted controller would otherwise count refused callers
+    /// who redial.
+    fn usual_rate_for_cold_server(&mut self) -> f64 {
+        let usual = self.usual_rate();
+        if self.usual.is_known() || !self.warm_server_accepts() {
+            return usual;
+        }
+        let size = self.ready_size();
+        self.usual.recent_rate(self.now, size).clamp(MIN_USUAL_RATE, usual)
+    }
+
+    /// Whether a warm server has accepted calls lately.
+    fn warm_server_accepts(&mut self) -> bool {
+        let now = self.now;
+        let ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready && !self.is_cold(s));
+        let warm: Vec<ServerId> = ready.map(|s| s.entry.server).collect();
+        let mut warm = warm.iter().filter_map(|id| Some(self.servers.get_mut(id)?.counts.counts(now).1));
+        warm.any(|accepts| accepts > 0)
+    }
+
+    fn record_accept(&mut self, size: f64) {
+        self.usual.record_accept(self.now, size);
+        if let Some(mean) = self.mean_reported_lines() {
+            self.capacity_rate.set_mean_lines(mean);
+        }
+        let ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready);
+        let in_service: Vec<Option<f64>> = ready.map(Server::reported_lines).collect();
+        self.capacity_rate.record_accept(self.now, &in_service, self.usual.averaging_time(self.now));
+    }
+
     /// Total size of the ready servers, in units of the mean size.
     fn ready_size(&self) -> f64 {
         let ready = |s: &&Server| s.entry.state == ServerState::Ready;
@@ -755,11 +808,14 @@
     /// A server's size relative to the mean: by its lines, which were provisioned for its planned calls. A
     /// server that reports no lines counts as of mean size.
     fn size_of(&self, server: &Server) -> f64 {
-        let reported: Vec<f64> =
-            self.servers.values().filter_map(|s| s.lines).filter(|&lines| lines > 0.0).collect();
-        let mean =
-            if reported.is_empty() { 1.0 } else { reported.iter().sum::<f64>() / reported.len() as f64 };
-        server.lines.filter(|&lines| lines > 0.0).unwrap_or(mean) / mean
+        let mean = self.mean_reported_lines().unwrap_or(1.0);
+        server.reported_lines().unwrap_or(mean) / mean
+    }
+
+    /// Mean number of lines of the servers that report any.
+    fn mean_reported_lines(&self) -> Option<f64> {
+        let reported: Vec<f64> = self.servers.values().filter_map(Server::reported_lines).collect();
+        (!reported.is_empty()).then(|| reported.iter().sum::<f64>() / reported.len() as f64)
     }
 
     fn size(&self, id: ServerId) -> f64 {
@@ -873,7 +929,7 @@
         let fast_enough = took <= self.shortest_target.scale(CONGESTED_TO);
         self.count(server, 1, u32::from(fast_enough));
         let size = self.ready_size();
-        self.usual.record_accept(self.now, size);
+        self.record_accept(size);
         let calls_per_window = self.usual_rate() * size * THROTTLE_WINDOW.secs();
         self.shares.record_accept(calls_per_window);
         let Some(call) = self.calls.remove(&id) else { return };
