Heed a peer's drain that seems older than our own entry only by its overestimated age

A drain reported a few milliseconds after our own directory's entry is dated before it, and Warnings::record_peer_listing ignores it; it is not looked at again.

Change: Core::peer_listing takes two hops' overestimate off the age, so a report counts unless our own entry is certainly newer.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -15,6 +15,10 @@
 /// A refusal as full without a wait is published as a wait too long for any call: this multiple of the shortest aim.
 const FULL_WAIT_FACTOR: f64 = 1.5;
 
+/// Hops in which most reports arrive. Each adds [`FleetConfig::min_latency`](crate::fleet::FleetConfig::min_latency), an
+/// upper bound of a latency that may be much smaller, to their age.
+const USUAL_HOPS: u64 = 2;
+
 /// The state of a call server as known to this controller and the fleet.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FleetView {
@@ -162,7 +166,11 @@
             return;
         };
         let host = listed.entry.host.clone();
-        let reported_at = observation.observed_at;
+        // The latest time at which the peer's directory may have reported it: a report must not count as older than our
+        // own entry, and be ignored for good, only because its age is overestimated.
+        let min_latency = self.config.fleet.as_ref().map(|fleet| fleet.min_latency).unwrap_or_default();
+        let overestimate = Span(min_latency.0.saturating_mul(USUAL_HOPS));
+        let reported_at = observation.observed_at.plus(overestimate);
         match self.warnings.record_peer_listing(self.now, server, state, reported_at) {
             WarningChange::Unchanged => {}
             WarningChange::Raised(until) => {
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -7,6 +7,7 @@
 
 use super::deadlines::Deadlines;
 use super::*;
+use crate::fleet::observation::encode_listing;
 use crate::fleet::{Fleet, FleetConfig, Key};
 use crate::interface::{Cause, Cell, ClassSettings, LoadField, ServerState, Span};
 use crate::recovery::records::{CallRecord, DirectoryRecord, Records};
@@ -752,6 +753,37 @@
     assert_eq!(invited_host(&mut drive).as_deref(), Some(to));
 }
 
+/// Guards against a drain that a peer reports right after our own directory's entry and that counts as the older one, since
+/// the age of a report is overestimated: it was ignored for good.
+#[rstest]
+#[case::later(2, "s0")]
+#[case::long_before(-1_000, "s1")]
+fn a_peer_s_drain_counts_unless_our_own_entry_is_certainly_newer(
+    #[case] after_own_ms: i64,
+    #[case] to: &str,
+) {
+    let mut drive = Drive::new(0);
+    let config = FleetConfig { controllers: 3, ..FleetConfig::default() };
+    drive.core.config.fleet = Some(config.clone());
+    let mut other = Fleet::new(FleetConfig { me: 1, ..config }, drive.now);
+    let draining = encode_listing(ServerState::Draining);
+    let wait = Span::from_millis(after_own_ms.unsigned_abs());
+    if after_own_ms < 0 {
+        other.observe(drive.now, Key::of_listing("s1"), draining, false);
+        drive.now = drive.now.plus(wait);
+        list_servers(&mut drive);
+    } else {
+        list_servers(&mut drive);
+        drive.now = drive.now.plus(wait);
+        other.observe(drive.now, Key::of_listing("s1"), draining, false);
+    }
+    let mut out = Vec::new();
+    other.poll(drive.now, &mut out);
+    drive.now = drive.now.plus(Span::from_millis(1));
+    drive.input(Input::PeerMessage(1, out.remove(0).bytes));
+    assert_eq!(invited_host(&mut drive).as_deref(), Some(to));
+}
+
 #[test]
 fn a_refusal_as_full_is_sent_to_the_peers_within_20_ms() {
     let (mut drive, _) = fleet_of_three();
