--- a/review/standin-2/case.rs
+++ b/review/standin-2/case.rs
@@ -1,11 +1,13 @@
 //! The cases of the second review; `case NAME` runs one. Exit code: 1 the rule was broken, 0 it held, 2 it could not run.
 
+mod iax2;
 mod kit;
 
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
+use iax2::Phone;
 use kit::*;
 
 fn main() {
@@ -25,6 +27,12 @@
         "many-releases" => many_releases(),
         "silent-release" => silent_release(),
         "long-answer" => long_answer(),
+        "wrong-length" => wrong_length(),
+        "silent-caller" => silent_caller(),
+        "iax2-restart" => iax2_restart(),
+        "iax2-stop" => iax2_stop(),
+        "silent-clients" => silent_clients(),
+        "unread" => unread(),
         _ => unable("no such case"),
     }
 }
@@ -316,10 +324,273 @@
         caller.open(&sid(n), "judge-call", 3_000, 0);
         wait_until(3_500, || !caller.told(&sid(n)).is_empty());
         for told in caller.told(&sid(n)) {
-            if told.line > 16 * 1024 {
-                broken.push(format!("call {}: its answer is {} bytes long", sid(n), told.line));
+            if told.line.len() > 16 * 1024 {
+                broken.push(format!("call {}: its answer is {} bytes long", sid(n), told.line.len()));
             }
         }
     }
     verdict(&broken, "all messages were within 16 KiB")
 }
+
+/// Call servers write their answers in two pieces; of every eighth one the length is too small by the second piece.
+fn wrong_length() -> i32 {
+    let all = Deployment::new(Manner {
+        answer_after_ms: 60,
+        tells_every_ms: 300,
+        description: "{sid}\r\nc=IN IP4 127.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n".to_owned(),
+        second_piece: 20,
+        wrong_length: trouble(),
+        ..Manner::default()
+    });
+    let Some(controller) = all.controller() else { return unable(NOT_READY) };
+    let Some(caller) = Caller::connect(controller.listen, true) else { return unable(NO_CONNECTION) };
+    for n in 0..64 {
+        caller.open(&sid(n), "judge-call", 3_000, (n % 2) as usize);
+        sleep_ms(150);
+    }
+    sleep_ms(3_500);
+    let mut broken = Vec::new();
+    let mut served = 0;
+    for n in 0..64 {
+        let name = sid(n);
+        let Some(ready) = caller.told(&name).into_iter().find(|told| told.msg == "ready") else { continue };
+        served += 1;
+        let made =
+            format!("\"text\":\"{name}\\r\\nc=IN IP4 127.4.7.9\\r\\nm=audio 31000 RTP/AVP 0 8 101\\r\\n\"");
+        if !ready.line.contains(&made) {
+            broken.push(format!("call {name} was served with what no call server made: {}", ready.line));
+        }
+    }
+    if served < 40 {
+        return unable("fewer than 40 calls were served");
+    }
+    verdict(&broken, &format!("{served} calls were served, each with the description of a call server"))
+}
+
+/// One of a front's three connections falls silent while calls that were set up on it stand.
+fn silent_caller() -> i32 {
+    let all = Deployment::new(Manner { answer_after_ms: 60, tells_every_ms: 300, ..Manner::default() });
+    let Some(controller) = all.controller() else { return unable(NOT_READY) };
+    let connections: Vec<Caller> = (0..3).filter_map(|_| Caller::connect(controller.listen, true)).collect();
+    if connections.len() < 3 {
+        return unable(NO_CONNECTION);
+    }
+    let mut sent: Vec<(String, u64)> = Vec::new();
+    let start = now_ms();
+    let mut silent_at = None;
+    let mut seed = 77_u64;
+    let mut lasts = BTreeMap::new();
+    while now_ms() - start < 30_000 {
+        let next = sent.len() as u64;
+        let on = (next % 3) as usize;
+        if now_ms() - start < 20_000 && now_ms() >= start + next * 100 {
+            let on = if on == 0 && silent_at.is_some() { 1 } else { on };
+            let name = sid(next);
+            connections[on].open(&name, "judge-call", 3_000, (next % 2) as usize);
+            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            lasts.insert(name.clone(), 2_000 + (seed >> 33) % 12_000);
+            sent.push((name, now_ms()));
+        }
+        if silent_at.is_none() && now_ms() - start > 4_000 && trouble() {
+            connections[0].silence();
+            silent_at = Some(now_ms());
+        }
+        for (name, at) in &sent {
+            if now_ms() - at > lasts[name] {
+                all.servers.iter().for_each(|server| server.release(name, 16));
+            }
+        }
+        sleep_ms(2);
+    }
+    let mut broken = Vec::new();
+    for (name, at) in &sent {
+        if !connections.iter().any(|c| c.is_ready(name)) {
+            continue;
+        }
+        let Some(over) = all.servers.iter().find_map(|server| server.released_at(name)) else { continue };
+        if over + 8_050 > now_ms() {
+            continue;
+        }
+        let _ = at;
+        let told: Vec<u64> = connections
+            .iter()
+            .flat_map(|c| c.told(name))
+            .filter(|t| t.msg == "close")
+            .map(|t| t.at)
+            .collect();
+        match told.iter().min() {
+            Some(told) if *told <= over + 8_050 => {}
+            Some(told) => broken.push(format!("call {name}: over at {over}, its caller was told at {told}")),
+            None => broken.push(format!("call {name}: over at {over}, its caller was never told")),
+        }
+    }
+    verdict(&broken, "each caller was told in time")
+}
+
+/// A call box that speaks IAX2 restarts while its call stands, and calls again from the same port and call number.
+fn iax2_restart() -> i32 {
+    let all = Deployment::new(Manner { answer_after_ms: 60, tells_every_ms: 300, ..Manner::default() });
+    let agent = Agent::start(&all.bulletin);
+    let start: std::net::SocketAddr = "127.0.0.5:0".parse().expect("an address");
+    sleep_ms(1_500);
+    let Some(phone) = Phone::start(start, agent.iax2) else { return unable(NO_CONNECTION) };
+    let first = phone.call(1, "aaaa000000000001", 3_000, 1_000);
+    if !first.iter().any(|frame| frame == "ANSWER") {
+        return unable("the first call is not answered");
+    }
+    let (phone, number) = if trouble() {
+        let Some(address) = phone.address() else { return unable("no address") };
+        drop(phone);
+        sleep_ms(1_000);
+        match Phone::start(address, agent.iax2) {
+            Some(phone) => (phone, 1),
+            None => return unable("the address is in use"),
+        }
+    } else {
+        (phone, 2)
+    };
+    let second = phone.call(number, "bbbb000000000002", 3_000, 3_500);
+    let answered =
+        second.iter().any(|frame| ["ACCEPT", "ANSWER", "REJECT", "HANGUP"].contains(&frame.as_str()));
+    let acked = second.iter().any(|frame| frame == "ACK");
+    let broken = if answered {
+        Vec::new()
+    } else {
+        vec![format!("the second call got no final answer within its 3 s, its NEW was acknowledged: {acked}")]
+    };
+    verdict(&broken, "the second call was answered")
+}
+
+/// The controller is killed and starts again while clients connect and say nothing; calls from before end.
+fn silent_clients() -> i32 {
+    let all = Deployment::new(Manner { answer_after_ms: 60, tells_every_ms: 300, ..Manner::default() });
+    let Some(mut controller) = all.controller() else { return unable(NOT_READY) };
+    let Some(caller) = Caller::connect(controller.listen, true) else { return unable(NO_CONNECTION) };
+    for n in 0..20 {
+        caller.open(&sid(n), "judge-call", 3_000, (n % 2) as usize);
+        sleep_ms(50);
+    }
+    sleep_ms(500);
+    let calls: Vec<String> = (0..20).map(sid).filter(|name| caller.is_ready(name)).collect();
+    controller.kill_and_restart();
+    let listen = controller.listen;
+    if trouble() {
+        note("100 clients connect and say nothing, and again when they are closed");
+        for n in 0..100 {
+            std::thread::spawn(move || loop {
+                sleep_ms(n * 10);
+                if let Ok(mut stream) = std::net::TcpStream::connect(listen) {
+                    let _ = std::io::copy(&mut stream, &mut std::io::sink());
+                }
+                sleep_ms(100);
+            });
+        }
+    }
+    if !controller.ready() {
+        return unable(NOT_READY);
+    }
+    let Some(again) = Caller::connect(listen, true) else { return unable(NO_CONNECTION) };
+    let start = now_ms();
+    let mut sent = 0;
+    while now_ms() - start < 14_000 {
+        if now_ms() >= start + 300 + sent * 200 {
+            again.open(&sid(1_000 + sent), "judge-call", 3_000, (sent % 2) as usize);
+            sent += 1;
+        }
+        for (n, name) in calls.iter().enumerate() {
+            if now_ms() - start > 100 + n as u64 * 100 {
+                all.servers.iter().for_each(|server| server.release(name, 16));
+            }
+        }
+        sleep_ms(2);
+    }
+    let mut broken = Vec::new();
+    for name in &calls {
+        let Some(over) = all.servers.iter().find_map(|server| server.released_at(name)) else { continue };
+        let told = again.told(name).into_iter().find(|told| told.msg == "close").map(|told| told.at);
+        match told {
+            Some(at) if at <= over + 1_050 => {}
+            Some(at) => broken
+                .push(format!("call {name}: released at {over}, its caller was told {} ms later", at - over)),
+            None => broken.push(format!("call {name}: released at {over}, its caller was never told")),
+        }
+    }
+    verdict(&broken, &format!("{} calls were released to their callers in time", calls.len()))
+}
+
+/// Clients ask and do not read what they get; another caller's set-ups go on. The pages' bad clients do read.
+fn unread() -> i32 {
+    let all = Deployment::new(Manner { answer_after_ms: 60, tells_every_ms: 300, ..Manner::default() });
+    let controller = Controller::start_with(&all.bulletin, &settings(JUDGE_CALL, 6), 32);
+    if !controller.ready() {
+        return unable(NOT_READY);
+    }
+    let Some(caller) = Caller::connect(controller.listen, true) else { return unable(NO_CONNECTION) };
+    let listen = controller.listen;
+    if trouble() {
+        for _ in 0..100 {
+            std::thread::spawn(move || {
+                let Ok(mut stream) = std::net::TcpStream::connect(listen) else { return };
+                let line =
+                    "{\"msg\":\"probe\",\"sid\":\"0000000000000001\",\"attrs\":{},\"code\":0}\n".repeat(50);
+                for _ in 0..4_000 {
+                    if std::io::Write::write_all(&mut stream, line.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+                sleep_ms(30_000);
+            });
+        }
+    }
+    let mut sent = Vec::new();
+    for n in 0..150 {
+        if caller.has_ended() {
+            break;
+        }
+        caller.open(&sid(n), "judge-call", 3_000, (n % 2) as usize);
+        sent.push(sid(n));
+        sleep_ms(100);
+    }
+    sleep_ms(3_500);
+    let unanswered: Vec<String> = sent.into_iter().filter(|name| caller.told(name).is_empty()).collect();
+    verdict(&unanswered, "all set-ups were answered")
+}
+
+/// An agent is stopped and started again while a call of an IAX2 caller stands; the call ends 4 s after its answer.
+fn iax2_stop() -> i32 {
+    let all = Deployment::new(Manner { answer_after_ms: 60, tells_every_ms: 300, ..Manner::default() });
+    let mut agent = Agent::start(&all.bulletin);
+    let start: std::net::SocketAddr = "127.0.0.5:0".parse().expect("an address");
+    sleep_ms(1_500);
+    let Some(phone) = Phone::start(start, agent.iax2) else { return unable(NO_CONNECTION) };
+    let name = "aaaa000000000001";
+    let calling = std::thread::spawn(move || phone.call(1, name, 3_000, 25_000));
+    if !wait_until(3_000, || all.stands(name)) {
+        return unable("the call does not stand");
+    }
+    sleep_ms(1_000);
+    if trouble() && !agent.stop_and_start() {
+        return unable("the agent does not end after SIGTERM");
+    }
+    sleep_ms(3_000);
+    all.servers.iter().for_each(|server| server.release(name, 16));
+    let Some(over) = all.servers.iter().find_map(|server| server.released_at(name)) else {
+        return unable("the call server did not release the call");
+    };
+    let Ok(came) = calling.join() else { return unable("the caller failed") };
+    if now_ms() < over + 8_050 {
+        return unable("the caller did not wait for 8 s");
+    }
+    // The end of a call is told by HANGUP; an INVAL would do, too.
+    let told = came.iter().any(|frame| ["HANGUP", "REJECT", "INVAL"].contains(&frame.as_str()));
+    let broken = if told {
+        Vec::new()
+    } else {
+        vec![format!(
+            "call {name} is over since {over} ms, and its caller was not told by {} ms; frames that came: {}",
+            now_ms(),
+            came.join(" ")
+        )]
+    };
+    verdict(&broken, "the caller was told that its call is over")
+}
--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -108,6 +108,10 @@
     pub tells_every_ms: u64,
     /// The description in its answers; `{sid}` stands for the call.
     pub description: String,
+    /// Each answer is written in two pieces; the second one, of this many bytes, follows 30 ms later.
+    pub second_piece: usize,
+    /// The length that every eighth answer gives for its description is too small by `second_piece`.
+    pub wrong_length: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -127,6 +131,8 @@
     standing: BTreeMap<String, u64>,
     /// Calls whose release this call server has sent.
     released: BTreeMap<String, u64>,
+    /// Calls whose answer was sent with a wrong length.
+    spoilt: BTreeSet<String>,
     heard: Vec<Heard>,
     dead: bool,
 }
@@ -137,6 +143,7 @@
     manner: Manner,
     state: Mutex<ServerState>,
     next_link: AtomicU64,
+    answered: AtomicU64,
     /// Links whose bytes in both directions are thrown away from now on, while they stay open.
     silent: Mutex<BTreeSet<u64>>,
 }
@@ -151,6 +158,7 @@
             manner,
             state: Mutex::default(),
             next_link: AtomicU64::new(1),
+            answered: AtomicU64::new(0),
             silent: Mutex::default(),
         });
         let accepting = server.clone();
@@ -328,7 +336,23 @@
             self.name,
             body.len()
         ));
-        self.send(no, &format!("SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {sid}\r\nCSeq: 1 INVITE\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+        let second = self.manner.second_piece.min(body.len());
+        let answered = self.answered.fetch_add(1, Ordering::Relaxed);
+        let wrong = self.manner.wrong_length && answered % 8 == 7;
+        let length = if wrong { body.len() - second } else { body.len() };
+        if wrong {
+            note(&format!("{} the length of this answer is wrong: {length}", self.name));
+            self.state.lock().expect("state").spoilt.insert(sid.to_owned());
+        }
+        let text = format!(
+            "SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {sid}\r\nCSeq: 1 INVITE\r\nContent-Length: {length}\r\n\r\n{body}"
+        );
+        let (first, rest) = text.split_at(text.len() - second);
+        self.send(no, first);
+        if !rest.is_empty() {
+            sleep_ms(30);
+            self.send(no, rest);
+        }
     }
 
     /// Releases a call that has come to its end, on the connection of its set-up or any open one.
@@ -378,6 +402,9 @@
     pub fn released_at(&self, sid: &str) -> Option<u64> {
         self.state.lock().expect("state").released.get(sid).copied()
     }
+    pub fn spoilt(&self) -> BTreeSet<String> {
+        self.state.lock().expect("state").spoilt.clone()
+    }
     pub fn heard(&self) -> Vec<Heard> {
         self.state.lock().expect("state").heard.clone()
     }
@@ -550,7 +577,7 @@
     pub at: u64,
     pub msg: String,
     pub code: i64,
-    pub line: usize,
+    pub line: String,
 }
 
 /// A caller's connection.
@@ -558,6 +585,7 @@
     writer: Mutex<TcpStream>,
     told: Arc<Mutex<BTreeMap<String, Vec<Told>>>>,
     ended: Arc<AtomicBool>,
+    silent: Arc<AtomicBool>,
 }
 
 /// The text of a field of a flat JSON object.
@@ -578,7 +606,8 @@
         let ended = Arc::new(AtomicBool::new(false));
         let reader = stream.try_clone().ok()?;
         let mut back = stream.try_clone().ok()?;
-        let (store, over) = (told.clone(), ended.clone());
+        let silent = Arc::new(AtomicBool::new(false));
+        let (store, over, unheard) = (told.clone(), ended.clone(), silent.clone());
         thread::spawn(move || {
             let mut reader = BufReader::new(reader);
             let mut line = String::new();
@@ -586,6 +615,11 @@
                 let msg = field(&line, "msg").unwrap_or_default();
                 let sid = field(&line, "sid").unwrap_or_default();
                 let code = field(&line, "code").and_then(|code| code.parse().ok()).unwrap_or(0);
+                if unheard.load(Ordering::Relaxed) {
+                    note(&format!("lost on the caller's silent connection: {msg} {sid} code {code}"));
+                    line.clear();
+                    continue;
+                }
                 if msg != "trying" {
                     note(&format!("caller <- {msg} {sid} code {code} ({} bytes)", line.len()));
                 }
@@ -593,7 +627,7 @@
                     let mut store = store.lock().expect("told");
                     let all = store.entry(sid.clone()).or_default();
                     let answered = all.iter().any(|told| told.msg == "ready");
-                    all.push(Told { at: now_ms(), msg: msg.clone(), code, line: line.trim_end().len() });
+                    all.push(Told { at: now_ms(), msg: msg.clone(), code, line: line.trim_end().to_owned() });
                     answered
                 };
                 if msg == "close" && answered && confirms {
@@ -605,7 +639,7 @@
             }
             over.store(true, Ordering::Relaxed);
         });
-        Some(Caller { writer: Mutex::new(stream), told, ended })
+        Some(Caller { writer: Mutex::new(stream), told, ended, silent })
     }
 
     pub fn write(&self, line: &str) -> bool {
@@ -638,6 +672,11 @@
         let ready = told.iter().position(|told| told.msg == "ready")?;
         told[ready..].iter().find(|told| told.msg == "close").cloned()
     }
+    /// From now on nothing gets through on this connection, while it stays open.
+    pub fn silence(&self) {
+        note("a caller's connection falls silent and stays open");
+        self.silent.store(true, Ordering::Relaxed);
+    }
     pub fn has_ended(&self) -> bool {
         self.ended.load(Ordering::Relaxed)
     }
@@ -676,6 +715,10 @@
 
 impl Controller {
     pub fn start(bulletin: &Bulletin, settings: &str) -> Controller {
+        Controller::start_with(bulletin, settings, 192)
+    }
+
+    pub fn start_with(bulletin: &Bulletin, settings: &str, memory_mb: u32) -> Controller {
         let listen = free_port("127.0.0.1");
         let dir =
             std::env::temp_dir().join(format!("lockpoint-review-{}-{}", std::process::id(), listen.port()));
@@ -684,7 +727,7 @@
         std::fs::write(
             &config,
             format!(
-                "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"bulletin\":\"{}\",\"known\":{},\"settings\":{settings}}}",
+                "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{{\"cores\":1.0,\"memory_mb\":{memory_mb},\"sockets\":1024}},\"bulletin\":\"{}\",\"known\":{},\"settings\":{settings}}}",
                 bulletin.addr,
                 bulletin.page(0)
             ),
@@ -732,21 +775,25 @@
 }
 
 extern "C" {
-    fn prctl(option: i32, argument: u64, c: u64, d: u64, e: u64) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 fn spawn(dir: &std::path::Path, config: &std::path::Path, start: u32) -> Child {
+    spawn_command("exec target/release/lockpoint", dir, config, start)
+}
+
+fn spawn_command(line: &str, dir: &std::path::Path, config: &std::path::Path, start: u32) -> Child {
     let log = File::create(dir.join(format!("log-{start}"))).expect("a log");
     let mut command = Command::new("/bin/sh");
     // The controller ends with the case, however that ends (PR_SET_PDEATHSIG, SIGKILL).
     unsafe {
         command.pre_exec(|| {
-            prctl(1, 9, 0, 0, 0);
+            prctl(1, 9_u64, 0_u64, 0_u64, 0_u64);
             Ok(())
         });
     }
     command
-        .args(["-c", "exec target/release/lockpoint"])
+        .args(["-c", line])
         .current_dir(std::env::var("ROOT").expect("ROOT names the repository"))
         .env("TMPDIR", dir.join("tmp"))
         .env("ROUTER_NAME", "n0")
@@ -759,6 +806,91 @@
         .expect("the controller starts")
 }
 
+/// An agent with one instance that has an IAX2 front, started by the program of the deploy file's `run` line.
+pub struct Agent {
+    child: Child,
+    dir: PathBuf,
+    pub iax2: SocketAddr,
+}
+
+impl Agent {
+    pub fn start(bulletin: &Bulletin) -> Agent {
+        let iax2 = std::net::UdpSocket::bind("127.0.0.1:0")
+            .and_then(|socket| socket.local_addr())
+            .expect("a free port");
+        let dir =
+            std::env::temp_dir().join(format!("lockpoint-review-{}-{}", std::process::id(), iax2.port()));
+        std::fs::create_dir_all(dir.join("tmp")).expect("a temporary folder");
+        let file = dir.join("agent.toml");
+        let text = format!(
+            r#"control = "{}/control.sock"
+[[instance]]
+name = "desks"
+bulletin = "{}"
+[instance.iax2]
+listen = "{iax2}"
+from = "127.0.0.1:0"
+tokens = "asked"
+[instance.settings]
+balancers = 1
+zones = ["edinburgh", "glasgow", "aberdeen", "inverness"]
+discovery = "push"
+granularity-us = 5000
+bounds = {{ cancel = true, connect-timeout-us = 500000, max-attempts = 5, max-retry-after-us = 2000000, most-held = 20000, retry-after = true }}
+report = {{ names = ["idle", "circuits", "cpu_share", "pending"] }}
+rules = {{ cold-share = 0.36, cold-us = 14000000, overload-factor = 2.5, tip-after-us = 1000000 }}
+extra = {{ shape = "skills", clear-wait-us = 500000, this-node = -1 }}
+[[instance.settings.classes]]
+name = "judge-call"
+goal-time-us = 2000000
+hard-limit-us = 9000000
+worth = 1.0
+late-worth = 0.1
+semantics = "free"
+"#,
+            dir.display(),
+            bulletin.addr
+        );
+        std::fs::write(&file, text).expect("the operator's file is written");
+        let child = spawn_agent(&dir, 0);
+        note(&format!("agent started, IAX2 callers at {iax2}"));
+        Agent { child, dir, iax2 }
+    }
+
+    /// A planned restart: SIGTERM, and a new start once the process has ended.
+    pub fn stop_and_start(&mut self) -> bool {
+        note("agent gets SIGTERM");
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {}", self.child.id())]).status();
+        let ended = wait_until(12_000, || matches!(self.child.try_wait(), Ok(Some(_))));
+        if ended {
+            note("agent has ended");
+            self.child = spawn_agent(&self.dir, 1);
+            note("agent started again");
+        }
+        ended
+    }
+}
+
+fn spawn_agent(dir: &std::path::Path, start: u32) -> Child {
+    let file = dir.join("agent.toml");
+    spawn_command(
+        &format!("exec target/release/lockpoint agent --config '{}'", file.display()),
+        dir,
+        &file,
+        start,
+    )
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let text = std::fs::read_to_string(self.dir.join("log-0")).unwrap_or_default();
+        text.lines().take(60).for_each(|line| note(&format!("agent's log: {line}")));
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
 impl Drop for Controller {
     fn drop(&mut self) {
         let _ = self.child.kill();
