Keep each release to a SIP call server until it is confirmed, on whatever connection

Cause: a release belonged to the connection it was written to, was looked at again only when that connection ended, and only if it was under 3 s old. A silent connection is closed after 3 s at the earliest, and not at all once no call is established.

Change: PendingReleases owns all releases of a call server until it confirms them; unconfirmed, they are retransmitted by the timers of RFC 3261 on another connection, or wait for the next one. upstream/sip/mod.rs is split along that line. A call server that never confirms (the protocol leaves it free) gets a release again only from a connection that has been silent since. State of older builds in a takeover is read, and older builds read this one's.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -390,7 +390,7 @@
                 DeadlineOwner::ClientConnections => self.review_client(key, now, todo),
                 DeadlineOwner::SipFirstMessage => self.sip.first_message_overdue(key),
                 DeadlineOwner::SipReconnect => self.sip.reconnect(key, todo),
-                DeadlineOwner::SipSilence => self.sip.check_silence(key, now, todo),
+                DeadlineOwner::SipSilence => self.sip.run_timer(key, now, todo),
                 DeadlineOwner::Iax2Front => self.iax2_front.run_timer(key, now, todo),
                 DeadlineOwner::Iax2Upstream => self.iax2_servers.run_timer(key, now, todo),
             }
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -3,6 +3,7 @@
 //! Holds no sockets: a connection is a number with a write queue.
 
 pub mod message;
+mod releases;
 #[cfg(test)]
 mod tests;
 
@@ -21,6 +22,7 @@
 use crate::net::queue::{Budget, WriteQueue};
 use crate::upstream::AdapterOutput;
 use message::{parse_report, refusal_from_response, request, response, Message, StartLine};
+use releases::{PendingReleases, ReleaseToSend};
 
 /// Largest number of connections to one call server. Set-ups are spread over them, so that malformed input or
 /// a close on one does not affect the others.
@@ -44,12 +46,9 @@
 /// must get a release within 8 s, and a call may have ended at the start of the silence, or shortly before it
 /// on a connection that fell silent first.
 const SILENCE_TIMEOUT: Span = Span::from_millis(6_500);
-/// How many cancelled set-ups, and how many releases sent, are remembered on a connection; the oldest are
-/// dropped. More than one connection carries within the time that a call is tried for.
+/// How many cancelled set-ups are remembered on a connection; the oldest are dropped. More than one connection
+/// carries within the time that a call is tried for.
 const MAX_REMEMBERED: usize = 256;
-/// A release sent within this time before its connection ended, and not confirmed, is sent again on another.
-/// An older one has reached a call server that confirms nothing, or its connection would have failed earlier.
-const RESEND_WITHIN: Span = Span::from_millis(3_000);
 /// Largest number of messages kept for the next connection.
 const MAX_WAITING_MESSAGES: usize = 4_096;
 /// Placeholder for an unknown number in a request URI; call servers use only the `Call-ID` of such a request.
@@ -90,15 +89,18 @@
     /// Set-ups cancelled after they had been written, the latest last; a final response may still arrive.
     #[serde(rename = "given_up")]
     cancelled: VecDeque<Sid>,
-    /// Releases sent on it and not confirmed, the latest last.
-    #[serde(rename = "unheard")]
-    unconfirmed: VecDeque<(Sid, Bytes, Time)>,
+    /// Releases sent on it and not confirmed, in the state that older builds hand over; empty in a running process.
+    #[serde(rename = "unheard", default)]
+    inherited_releases: VecDeque<(Sid, Bytes, Time)>,
     /// When the first set-up was sent since the last input.
     #[serde(rename = "asked")]
     unanswered_since: Option<Time>,
     /// When the call server last showed life on it.
     #[serde(rename = "heard")]
     last_seen: Time,
+    /// When anything last arrived on it.
+    #[serde(default)]
+    last_input: Time,
     /// Whether it carries set-ups: something has arrived on it, or it has been open for long enough.
     #[serde(rename = "speaks")]
     carries_set_ups: bool,
@@ -111,14 +113,6 @@
         }
         self.cancelled.push_back(sid);
     }
-    /// Sends the release of a call.
-    fn send_release(&mut self, sid: Sid, bytes: Bytes, now: Time) {
-        self.queue.push(bytes.clone(), None);
-        if self.unconfirmed.len() >= MAX_REMEMBERED {
-            self.unconfirmed.pop_front();
-        }
-        self.unconfirmed.push_back((sid, bytes, now));
-    }
     /// Whether a final response belongs to a set-up that was cancelled here.
     fn take_cancelled(&mut self, sid: Sid) -> bool {
         let at = self.cancelled.iter().position(|cancelled| *cancelled == sid);
@@ -141,6 +135,9 @@
     /// process that accepted its connection.
     #[serde(default)]
     answered_on: BTreeMap<Sid, Time>,
+    /// Releases that the call server has not confirmed.
+    #[serde(default)]
+    releases: PendingReleases,
     wanted: bool,
     #[serde(rename = "again")]
     reconnect_delay: Span,
@@ -150,6 +147,9 @@
     /// Whether a silence check is scheduled.
     #[serde(rename = "watched")]
     silence_watched: bool,
+    /// When the next silence check is due, if one is scheduled.
+    #[serde(default)]
+    silence_check_at: Time,
 }
 
 impl Trunk {
@@ -178,10 +178,36 @@
         }
         old
     }
-    /// The connection for releases: an open one, preferably one with input since its last set-up.
-    fn link_for_releases(&mut self) -> Option<&mut Link> {
-        let open = self.links.values_mut().filter(|l| l.connected_at.is_some());
-        open.max_by_key(|l| l.unanswered_since.is_none())
+    /// The connection for releases, other than `excluded`: an open one, preferably one with input since its last
+    /// set-up, and with the latest input.
+    fn link_for_releases(&self, excluded: Option<u64>) -> Option<u64> {
+        let open = self.links.iter().filter(|(no, l)| l.connected_at.is_some() && Some(**no) != excluded);
+        let best = open.max_by_key(|(_, l)| (l.unanswered_since.is_none(), l.last_input));
+        best.map(|(no, _)| *no)
+    }
+    /// Sends a release on a connection, or keeps it for the next one.
+    fn send_release(&mut self, sid: Sid, request: Bytes, link: Option<u64>, now: Time) {
+        if let Some(link) = link.and_then(|no| self.links.get(&no)) {
+            link.queue.push(request.clone(), None);
+        }
+        self.releases.add(sid, request, link, now);
+    }
+    /// Sends a release again, on another connection than before.
+    fn resend_release(&mut self, release: &ReleaseToSend, no: u64, now: Time) {
+        let Some(link) = self.links.get(&no) else { return };
+        link.queue.push(release.request.clone(), None);
+        self.releases.mark_sent(release.sid, no, now);
+    }
+    /// Schedules the first silence check, unless one is scheduled.
+    fn watch_silence(&mut self, now: Time) {
+        if !std::mem::replace(&mut self.silence_watched, true) {
+            self.silence_check_at = now.plus(PROBE_AFTER);
+        }
+    }
+    /// When this call server's timer is due: for a silence check or the retransmission of a release.
+    fn timer_due_at(&self) -> Option<Time> {
+        let silence_check = self.silence_watched.then_some(self.silence_check_at);
+        silence_check.into_iter().chain(self.releases.next_check()).min()
     }
 }
 
@@ -253,7 +279,11 @@
         (self.budget, self.max_links) = (budget.clone(), max_links);
         let (mut to_make, mut lost) = (Vec::new(), Vec::new());
         for trunk in self.trunks.values_mut() {
+            let releases = &mut trunk.releases;
             for (no, link) in &mut trunk.links {
+                for (sid, request, sent_at) in link.inherited_releases.drain(..) {
+                    releases.add(sid, request, Some(*no), sent_at);
+                }
                 if let Some(queue) = Rc::get_mut(&mut link.queue) {
                     queue.move_to_budget(budget);
                 }
@@ -284,10 +314,12 @@
             waiting_messages: VecDeque::new(),
             established: BTreeMap::new(),
             answered_on: BTreeMap::new(),
+            releases: PendingReleases::default(),
             wanted: true,
             reconnect_delay: RECONNECT_DELAY.0,
             last_seen: Time::default(),
             silence_watched: false,
+            silence_check_at: Time::default(),
         });
         (trunk.address, trunk.wanted) = (address, true);
         if trunk.links.is_empty() {
@@ -316,6 +348,7 @@
         if let Some(trunk) = self.trunks.get_mut(&server) {
             trunk.wanted = false;
             trunk.waiting_messages.clear();
+            trunk.releases.discard_waiting();
         }
     }
 
@@ -331,19 +364,59 @@
     ) {
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         trunk.add_established(sid, number, now);
-        if !std::mem::replace(&mut trunk.silence_watched, true) {
+        if !trunk.silence_watched {
             trunk.last_seen = trunk.last_seen.max(now);
-            output.deadlines.push((
-                now.plus(PROBE_AFTER),
-                DeadlineOwner::SipSilence,
-                u64::from(server.address),
-            ));
+            trunk.watch_silence(now);
         }
+        self.arm_timer(server, output);
     }
 
-    /// Checks whether a call server with established calls has been silent for too long.
-    pub fn check_silence(&mut self, key: u64, now: Time, output: &mut AdapterOutput) {
+    /// Runs the timer of a call server: retransmits releases, and checks for silence.
+    pub fn run_timer(&mut self, key: u64, now: Time, output: &mut AdapterOutput) {
         let server = ServerId { address: u32::try_from(key).unwrap_or(0), port: 0 };
+        self.retransmit_releases(server, now, output);
+        let check_due = self
+            .trunks
+            .get(&server)
+            .is_some_and(|trunk| trunk.silence_watched && trunk.silence_check_at <= now);
+        if check_due {
+            self.check_silence(server, now, output);
+        }
+        self.arm_timer(server, output);
+    }
+
+    /// Sets the deadline of a call server's timer.
+    fn arm_timer(&self, server: ServerId, output: &mut AdapterOutput) {
+        if let Some(at) = self.trunks.get(&server).and_then(Trunk::timer_due_at) {
+            output.deadlines.push((at, DeadlineOwner::SipSilence, u64::from(server.address)));
+        }
+    }
+
+    /// Sends the releases again that have not been confirmed in time, each on another connection than before: its own may
+    /// have fallen silent. Where there is no other, one is opened.
+    fn retransmit_releases(&mut self, server: ServerId, now: Time, output: &mut AdapterOutput) {
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        let links = &trunk.links;
+        let due = trunk
+            .releases
+            .take_due(now, |no, since| links.get(&no).is_some_and(|link| link.last_input > since));
+        let mut needs_link = false;
+        for release in due {
+            if let Some(no) = trunk.link_for_releases(release.previous_link) {
+                trunk.resend_release(&release, no, now);
+            } else {
+                trunk.releases.mark_waiting(release.sid);
+                needs_link = true;
+            }
+        }
+        let opening = trunk.links.values().any(|link| link.connected_at.is_none());
+        if needs_link && trunk.wanted && !opening {
+            self.open_link(server, output);
+        }
+    }
+
+    /// Checks whether a call server with established calls has been silent for too long.
+    fn check_silence(&mut self, server: ServerId, now: Time, output: &mut AdapterOutput) {
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         trunk.silence_watched = !trunk.established.is_empty();
         if !trunk.silence_watched {
@@ -352,14 +425,10 @@
         let silent = now.since(trunk.last_seen);
         if silent >= SILENCE_TIMEOUT {
             trunk.silence_watched = false;
-            self.give_up_calls(server, output);
+            self.give_up_calls(server, now, output);
             return;
         }
-        output.deadlines.push((
-            trunk.last_seen.plus(SILENCE_TIMEOUT).min(now.plus(SILENCE_CHECK_INTERVAL)),
-            DeadlineOwner::SipSilence,
-            key,
-        ));
+        trunk.silence_check_at = trunk.last_seen.plus(SILENCE_TIMEOUT).min(now.plus(SILENCE_CHECK_INTERVAL));
         // Releases may be lost on a connection that is silent while others are not; closing it sends them
         // again on the next one that opens.
         let stale = |l: &Link| l.connected_at.is_some() && trunk.last_seen.since(l.last_seen) >= PROBE_AFTER;
@@ -396,12 +465,12 @@
 
     /// Gives up the calls of a silent call server. Their releases are kept for the next connection, in case
     /// it is alive.
-    fn give_up_calls(&mut self, server: ServerId, output: &mut AdapterOutput) {
+    fn give_up_calls(&mut self, server: ServerId, now: Time, output: &mut AdapterOutput) {
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         for (sid, number) in trunk.take_established() {
-            if trunk.wanted && trunk.waiting_messages.len() < MAX_WAITING_MESSAGES {
+            if trunk.wanted {
                 let reason = "Reason: Q.850;cause=41\r\n";
-                trunk.waiting_messages.push_back(request("BYE", &number, sid, (2, "BYE"), reason, ""));
+                trunk.send_release(sid, request("BYE", &number, sid, (2, "BYE"), reason, ""), None, now);
             }
         }
         output.inputs.push(Input::ServerDied(server));
@@ -426,12 +495,15 @@
         }
     }
 
-    /// Closes the connections that meet a condition.
+    /// Closes the connections that meet a condition: the process that they lead to is gone, and its calls with it.
     fn close_links(&mut self, server: ServerId, closes: impl Fn(&Link) -> bool, output: &mut AdapterOutput) {
-        let Some(trunk) = self.trunks.get(&server) else { return };
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
         let closing = trunk.links.iter().filter(|(_, link)| closes(link));
         let closing: Vec<(u64, Rc<WriteQueue>)> =
             closing.map(|(no, link)| (*no, link.queue.clone())).collect();
+        for (no, _) in &closing {
+            trunk.releases.discard_on_link(*no);
+        }
         for (no, queue) in closing {
             queue.abort();
             self.end_link(server, no, LinkEnd::Closed(CloseReason::ClosedHere), Time::default(), output);
@@ -451,9 +523,10 @@
                 connected_at: None,
                 set_ups: BTreeMap::new(),
                 cancelled: VecDeque::new(),
-                unconfirmed: VecDeque::new(),
+                inherited_releases: VecDeque::new(),
                 unanswered_since: None,
                 last_seen: Time::default(),
+                last_input: Time::default(),
                 carries_set_ups: false,
             },
         );
@@ -552,15 +625,14 @@
         let extra = format!("Reason: Q.850;cause={cause}\r\n");
         let number = number.as_deref().unwrap_or(NO_NUMBER);
         let bytes = request("BYE", number, sid, (2, "BYE"), &extra, "");
-        if let Some(link) = trunk.link_for_releases() {
-            return link.send_release(sid, bytes, now);
+        let link = trunk.link_for_releases(None);
+        if link.is_some() || trunk.wanted {
+            trunk.send_release(sid, bytes, link, now);
         }
-        if trunk.wanted && trunk.waiting_messages.len() < MAX_WAITING_MESSAGES {
-            trunk.waiting_messages.push_back(bytes);
-            if trunk.links.is_empty() {
-                self.open_link(server, output);
-            }
+        if trunk.wanted && trunk.links.is_empty() {
+            self.open_link(server, output);
         }
+        self.arm_timer(server, output);
     }
 
     /// Withdraws every set-up of which no byte has been written.
@@ -580,18 +652,25 @@
 
     /// A connection was opened.
     pub fn link_up(&mut self, no: u64, now: Time, output: &mut AdapterOutput) {
-        let Some(server) = self.server_of_link.get(&no) else { return };
-        let Some(trunk) = self.trunks.get_mut(server) else { return };
+        let Some(&server) = self.server_of_link.get(&no) else { return };
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
         self.counts.connected += 1;
         (trunk.reconnect_delay, trunk.last_seen) = (RECONNECT_DELAY.0, now);
         let waiting = std::mem::take(&mut trunk.waiting_messages);
         let Some(link) = trunk.links.get_mut(&no) else { return };
-        (link.connected_at, link.last_seen) = (Some(now), now);
+        (link.connected_at, link.last_seen, link.last_input) = (Some(now), now, now);
         link.unanswered_since = link.unanswered_since.map(|_| now);
         for bytes in waiting {
             link.queue.push(bytes, None);
         }
         output.deadlines.push((now.plus(FIRST_MESSAGE_TIMEOUT), DeadlineOwner::SipFirstMessage, no));
+        let waiting = trunk.releases.waiting();
+        for release in &waiting {
+            trunk.resend_release(release, no, now);
+        }
+        if !waiting.is_empty() {
+            self.arm_timer(server, output);
+        }
     }
 
     /// An open connection may carry set-ups now, even if nothing has arrived on it.
@@ -677,20 +756,23 @@
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         // A release sent on a connection that the call server was just closing must be sent again, and one
         // not written yet must not wait for the next connection while another is open.
-        let recent = |(_, bytes, sent_at): &(Sid, Bytes, Time)| {
-            now.since(*sent_at) < RESEND_WITHIN && now >= *sent_at && !waiting.contains(bytes)
-        };
-        let resend: Vec<(Sid, Bytes, Time)> =
-            link.unconfirmed.iter().filter(|end| recent(end)).cloned().collect();
-        if let Some(other) = trunk.link_for_releases() {
+        let releases = trunk.releases.take_from_link(no, |since| link.last_input > since);
+        waiting.retain(|bytes| releases.iter().all(|release| release.request != *bytes));
+        if let Some(other) = trunk.link_for_releases(None) {
+            for release in &releases {
+                trunk.resend_release(release, other, now);
+            }
+            let Some(other) = trunk.links.get(&other) else { return };
             for bytes in waiting {
                 let _ = other.queue.push(bytes, None); // a full queue belongs to a connection that is failing itself
             }
-            return resend.into_iter().for_each(|(sid, bytes, _)| other.send_release(sid, bytes, now));
+            return;
+        }
+        if !trunk.wanted {
+            trunk.releases.discard_waiting();
         }
         let room = MAX_WAITING_MESSAGES.saturating_sub(trunk.waiting_messages.len());
-        let resend = resend.into_iter().map(|(_, bytes, _)| bytes).filter(|_| trunk.wanted);
-        trunk.waiting_messages.extend(waiting.into_iter().chain(resend).take(room));
+        trunk.waiting_messages.extend(waiting.into_iter().take(room));
     }
 
     fn move_set_up(
@@ -732,6 +814,7 @@
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         let Some(link) = trunk.links.get_mut(&no) else { return };
         link.unanswered_since = None;
+        link.last_input = now;
         // A delayed response does not show that the call server is alive now, only that it was when the
         // request was sent. Otherwise the calls at a machine that has vanished would be kept too long.
         let alive_at =
@@ -780,9 +863,9 @@
                         if let Some(number) = known.filter(|_| requested) {
                             trunk.add_established(sid, number, connected_at);
                         }
-                        if requested && !std::mem::replace(&mut trunk.silence_watched, true) {
-                            let key = u64::from(server.address);
-                            output.deadlines.push((now.plus(PROBE_AFTER), DeadlineOwner::SipSilence, key));
+                        if requested {
+                            trunk.watch_silence(now);
+                            self.arm_timer(server, output);
                         }
                         ServerEvent::Answered(body.into())
                     }
@@ -803,7 +886,7 @@
                 output.inputs.push(Input::Server(server, sid, event));
             }
             (StartLine::Response(_), "BYE", Some(sid)) => {
-                link.unconfirmed.retain(|(unconfirmed, ..)| *unconfirmed != sid)
+                trunk.releases.confirm(sid);
             }
             (StartLine::Response(_), _, _) => {}
             (StartLine::Request(method), _, sid) => match (method.as_str(), sid) {
--- a/src/upstream/sip/tests.rs
+++ b/src/upstream/sip/tests.rs
@@ -58,7 +58,7 @@
     }
     fn check_silence(&mut self) -> AdapterOutput {
         let mut output = AdapterOutput::default();
-        self.trunks.check_silence(1, self.now, &mut output);
+        self.trunks.run_timer(1, self.now, &mut output);
         output
     }
 }
@@ -515,3 +515,78 @@
     let sent: Vec<_> = queue(&bench, other).take_unsent().iter().map(|item| item.bytes.clone()).collect();
     assert!(sent.len() == 1 && sent[0].starts_with(b"BYE"), "{sent:?}");
 }
+
+/// The releases queued on a connection, which are written by this.
+fn written_releases(bench: &TestBench, link: u64) -> usize {
+    let queue = bench.trunks.queue_of(link).expect("a queue");
+    let sent = queue.take_unsent();
+    sent.iter().filter(|message| message.bytes.starts_with(b"BYE")).count()
+}
+
+fn confirmation(n: u64) -> String {
+    format!("SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n", sid(n))
+}
+
+/// A release on a connection that has fallen silent must not be taken for one that arrived (review case 10). It is sent
+/// until it is confirmed or given up, and no longer.
+#[test]
+fn unconfirmed_release_is_retransmitted_on_other_connections_until_it_is_confirmed_or_given_up() {
+    for confirmed in [true, false] {
+        let (mut bench, links) = all_links_open();
+        bench.establish(links[0], 1);
+        bench.establish(links[0], 2);
+        let mut output = AdapterOutput::default();
+        bench.trunks.bye(SERVER, sid(1), 16, bench.now, &mut output);
+        assert_eq!(written_releases(&bench, links[0]), 1, "the connection with the latest input");
+        let mut due = output.deadlines.last().expect("a retransmission is scheduled").0;
+        assert_eq!(due, at(500));
+        let mut sent = BTreeMap::new();
+        while bench.now < at(60_000) {
+            bench.now = due;
+            let output = bench.check_silence();
+            for link in links.iter().filter(|link| bench.trunks.queue_of(**link).is_some()) {
+                *sent.entry(*link).or_insert(0) += written_releases(&bench, *link);
+            }
+            // Call 2 stands: the call server is not given up while it speaks.
+            bench.receive(links[1], NOTIFY);
+            let answering = sent.iter().find(|(_, count)| **count > 0).map(|(link, _)| *link);
+            if let Some(link) = answering.filter(|_| confirmed) {
+                bench.receive(link, &confirmation(1));
+            }
+            match output.deadlines.last() {
+                Some((next, ..)) => due = *next,
+                None => break,
+            }
+        }
+        let total: usize = sent.values().sum();
+        if confirmed {
+            assert_eq!(total, 1, "{sent:?}");
+        } else {
+            assert!((2..=10).contains(&total) && sent[&links[0]] < total, "{sent:?}");
+        }
+        assert!(bench.trunks.trunks[&SERVER].releases.next_check().is_none());
+    }
+}
+
+/// Confirmations are optional: a call server that sends none, and speaks, gets each release once.
+#[test]
+fn call_server_that_confirms_nothing_gets_a_release_once_while_its_connection_is_in_use() {
+    let (mut bench, link) = TestBench::new();
+    bench.open(link);
+    bench.establish(link, 1);
+    bench.trunks.bye(SERVER, sid(1), 16, bench.now, &mut AdapterOutput::default());
+    assert_eq!(written_releases(&bench, link), 1);
+    bench.now = at(100);
+    bench.receive(link, NOTIFY);
+    bench.now = at(500);
+    let output = bench.check_silence();
+    assert!(output.connects.is_empty() && output.deadlines.iter().all(|(due, ..)| *due > at(500)));
+    assert_eq!(written_releases(&bench, link), 0);
+    // Nor again where the connection ends.
+    bench.close(link, LinkEnd::Closed(CloseReason::Closed));
+    let mut output = AdapterOutput::default();
+    bench.trunks.reconnect(1, &mut output);
+    let next = output.connects[0].0;
+    bench.open(next);
+    assert_eq!(written_releases(&bench, next), 0);
+}
