Test of half messages: expect the third set-up on the connection that was opened for it

Cause: with a set-up outstanding on its only connection the controller opens a second one for later set-ups. The test never accepted it and expected the third set-up on the first, which holds only while the second is younger than the first-message timeout (150 ms).

The pause is as it was.

Change: the test accepts the second connection, expects the third set-up there, and sends the two pieces of its answer there. Each check stays; that an answer in pieces survives is now checked on two connections.

--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -202,6 +202,10 @@
         let other = Caller::connect(&world, "unusable", controller.at).await;
         other.open(&name(2), 9_000, 0, "x").await;
         assert_eq!(link.expect_request("INVITE").await, name(2));
+        // It was opened because a set-up is outstanding on the first connection, and carries the third set-up.
+        let mut second_link = server.accept_ready().await;
+        let opened = |i: &lockpoint::instance::Instance| i.counters().connected == 2;
+        controller.wait_for("a second connection is open", opened).await;
         let mut bad = Vec::new();
         for n in 0..2 * buffers {
             let line = open(&name(100 + n as u64), ("x", "x"));
@@ -221,7 +225,7 @@
         }
         tokio::time::sleep(Duration::from_millis(30)).await;
         caller.send(rest).await;
-        assert_eq!(link.expect_request("INVITE").await, name(3));
+        assert_eq!(second_link.expect_request("INVITE").await, name(3));
         // The answers come in two pieces, too.
         for call in [1, 2, 3] {
             let answer = format!(
@@ -229,6 +233,7 @@
                 name(call)
             );
             let (first, rest) = answer.split_at(answer.len() / 2);
+            let link = if call == 3 { &mut second_link } else { &mut link };
             link.send(first).await;
             tokio::time::sleep(Duration::from_millis(30)).await;
             link.send(rest).await;
