Test of idle clients: hold the port of the discovery that is down, and let it listen later

Cause: the test chose a free address for discovery, gave it up, and bound it again when discovery recovers. In between anyone may get it: idle_clients_leave_descriptors_..., case 1, failed with 'Address already in use' at that bind, once, while two suites ran side by side. Which process had the port was not seen.

Change: the socket is bound from the start and listens when discovery recovers; until then it refuses connections, as before. No check changed. Bulletin::start_on takes a socket that listens.

--- a/crates/lockpoint-lab/src/bulletin.rs
+++ b/crates/lockpoint-lab/src/bulletin.rs
@@ -59,7 +59,11 @@
 
     /// Starts a bulletin at an address.
     pub async fn start_at(event_log: &EventLog, at: SocketAddr) -> std::io::Result<Rc<Bulletin>> {
-        let listener = TcpListener::bind(at).await?;
+        Bulletin::start_on(event_log, TcpListener::bind(at).await?)
+    }
+
+    /// Starts a bulletin on a socket that listens already.
+    pub fn start_on(event_log: &EventLog, listener: TcpListener) -> std::io::Result<Rc<Bulletin>> {
         let at = listener.local_addr()?;
         let bulletin = Rc::new(Bulletin {
             at,
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use platform::{free_address, Platform};
+use platform::Platform;
 use rstest::rstest;
 use serde_json::{json, Value};
 use support::{
@@ -19,7 +19,7 @@
     ServerBehaviour, SipServer,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
 
 /// System limit on the controller's descriptors.
@@ -100,8 +100,11 @@
 fn idle_clients_leave_descriptors_for_list_servers_console_and_a_real_client(#[case] limits: Value) {
     on_one_thread(async {
         let world = EventLog::default();
-        let bulletin = free_address();
-        let config = json!({"bulletin": bulletin.to_string(), "limits": limits, "settings": settings(1)});
+        // Bound, so that its port stays free for it, and refusing connections until it listens.
+        let bulletin = TcpSocket::new_v4().expect("a socket");
+        bulletin.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let bulletin_address = bulletin.local_addr().expect("an address").to_string();
+        let config = json!({"bulletin": bulletin_address, "limits": limits, "settings": settings(1)});
         let label = format!("descriptors-{}", limits.as_object().map_or(0, serde_json::Map::len));
         let platform = Rc::new(Platform::start(&label, &config, Some(DESCRIPTORS)));
         until("the controller listens", Duration::from_secs(10), async || {
@@ -123,7 +126,8 @@
         for n in 1..=OTHERS {
             hosts.push(list_entry(&format!("s{n}"), silent_server(connected.clone()).await, 10 + n, "ready"));
         }
-        let recovered = Bulletin::start_at(&world, bulletin).await.expect("discovery recovers");
+        let recovered = Bulletin::start_on(&world, bulletin.listen(1_024).expect("discovery recovers"))
+            .expect("discovery recovers");
         recovered.publish(true, hosts);
         let listed =
             until("the health check passes", LIST_WITHIN, async || health_check_passes(platform.at).await)
