Hold an answer whose description ends within a line until what follows shows its length

Cause: LinkReader::read acted on a message as soon as its length was there. With nothing read behind it the length could not be contradicted, though the body ended within a line; the rest came 30 ms later.

Change: such an answer is held until something follows, the stream ends, or 100 ms have passed; what follows decides by the rule that is there already.

--- a/src/instance/links.rs
+++ b/src/instance/links.rs
@@ -18,6 +18,9 @@
 /// Time for a call server's message, from its first byte to its last. Guards against a truncated answer that keeps
 /// every pending call on its connection waiting.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for the rest of an answer whose description ends within a line: peers write in pieces, and its length may be too
+/// small. After this the description is taken for whole; line ends at its end are usual, not required.
+const DESCRIPTION_END_TIMEOUT: Duration = Duration::from_millis(100);
 /// Log party for unreadable messages of a call server; separate, since its connections may come up meanwhile.
 const MESSAGES_PARTY: &str = "call server's messages";
 
@@ -59,7 +62,7 @@
     }
 
     async fn serve_link(&self, no: u64, line: &Connection, queue: &WriteQueue) -> LinkEnd {
-        let mut reader = LinkReader { instance: self.clone(), no };
+        let mut reader = LinkReader { instance: self.clone(), no, holds_answer: false };
         LinkEnd::Closed(serve(line, queue, &self.0.server_buffers, &mut reader).await)
     }
 
@@ -105,6 +108,15 @@
 struct LinkReader {
     instance: Instance,
     no: u64,
+    /// Whether what is left in the buffer is an answer that may be cut off.
+    holds_answer: bool,
+}
+
+/// Whether bytes may still follow those that have been read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Following {
+    Possible,
+    None,
 }
 
 impl LinkReader {
@@ -122,8 +134,9 @@
     }
 }
 
-impl MessageReader for LinkReader {
-    fn read(&mut self, bytes: &[u8]) -> Result<usize, MalformedInput> {
+impl LinkReader {
+    fn read_messages(&mut self, bytes: &[u8], following: Following) -> Result<usize, MalformedInput> {
+        self.holds_answer = false;
         let mut used = 0;
         loop {
             // Empty lines between messages are keep-alives.
@@ -132,6 +145,11 @@
             }
             match parse(&bytes[used..]) {
                 Ok(Some((message, length))) => {
+                    let is_last = used + length == bytes.len();
+                    if is_last && following == Following::Possible && message.may_be_cut_off() {
+                        self.holds_answer = true;
+                        return Ok(used);
+                    }
                     used += length;
                     let now = self.instance.0.clock.now();
                     let mut address = None;
@@ -153,10 +171,23 @@
             }
         }
     }
+}
+
+impl MessageReader for LinkReader {
+    fn read(&mut self, bytes: &[u8]) -> Result<usize, MalformedInput> {
+        self.read_messages(bytes, Following::Possible)
+    }
+    fn read_overdue(&mut self, bytes: &[u8]) -> Result<usize, MalformedInput> {
+        self.read_messages(bytes, Following::None)
+    }
     fn end_of_stream(&mut self) -> bool {
         false
     }
     fn message_timeout(&self) -> Duration {
-        MESSAGE_TIMEOUT
+        if self.holds_answer {
+            DESCRIPTION_END_TIMEOUT
+        } else {
+            MESSAGE_TIMEOUT
+        }
     }
 }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -43,10 +43,15 @@
 pub trait MessageReader {
     /// Handles the complete messages at the start of `bytes` and returns how many bytes they took.
     fn read(&mut self, bytes: &[u8]) -> Result<usize, MalformedInput>;
+    /// The last message is overdue, or nothing more will arrive: handles messages that [`Self::read`] left because more
+    /// might have belonged to them, and returns how many bytes they took.
+    fn read_overdue(&mut self, _bytes: &[u8]) -> Result<usize, MalformedInput> {
+        Ok(0)
+    }
     /// The peer's stream has ended: it closed the connection or only its writing half. `true`: keep writing
     /// until the queue is finished.
     fn end_of_stream(&mut self) -> bool;
-    /// Longest time from the first to the last byte of a message.
+    /// Longest time from the first to the last byte of the message that is partly read.
     fn message_timeout(&self) -> Duration;
     /// Whether the peer waits for answers on this connection. It is then not closed because of its input.
     fn has_pending_answers(&self) -> bool {
@@ -158,6 +163,14 @@
             _ = queue.changed() => continue,
             // A message that never completes would hold a buffer, and block all that follows it, for good.
             _ = sleep_until(message_deadline) => {
+                match read_overdue(connection, reader) {
+                    Ok(Overdue::Handled) => {
+                        message_deadline = None;
+                        continue;
+                    }
+                    Ok(Overdue::Incomplete) => {}
+                    Err(MalformedInput) => return CloseReason::Malformed,
+                }
                 if !reader.has_pending_answers() {
                     return CloseReason::Incomplete;
                 }
@@ -276,6 +289,25 @@
     End,
 }
 
+/// What became of an overdue message.
+enum Overdue {
+    /// It was taken for complete and handled.
+    Handled,
+    /// It is incomplete.
+    Incomplete,
+}
+
+fn read_overdue(connection: &Connection, reader: &mut impl MessageReader) -> Result<Overdue, MalformedInput> {
+    let Some(mut buffer) = connection.partial.take() else { return Ok(Overdue::Incomplete) };
+    let used = reader.read_overdue(buffer.filled())?;
+    buffer.used(used);
+    if buffer.filled().is_empty() {
+        return Ok(Overdue::Handled);
+    }
+    *connection.partial.borrow_mut() = Some(buffer);
+    Ok(Overdue::Incomplete)
+}
+
 fn read_some(
     connection: &Connection,
     pool: &BufferPool,
@@ -286,13 +318,19 @@
         None => pool.take().ok_or(CloseReason::NoBuffer)?,
     };
     match connection.stream.try_read(buffer.room()) {
-        Ok(0) => return Ok(Read::End),
+        Ok(0) => {
+            let _ = reader.read_overdue(buffer.filled());
+            return Ok(Read::End);
+        }
         Ok(n) => buffer.add(n),
         Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
             *connection.partial.borrow_mut() = Some(buffer).filter(|buffer| !buffer.filled().is_empty());
             return Ok(Read::Nothing);
         }
-        Err(e) => return Err(close_reason(&e)),
+        Err(e) => {
+            let _ = reader.read_overdue(buffer.filled());
+            return Err(close_reason(&e));
+        }
     }
     let used = reader.read(buffer.filled()).map_err(|MalformedInput| CloseReason::Malformed)?;
     buffer.used(used);
--- a/src/upstream/sip/message.rs
+++ b/src/upstream/sip/message.rs
@@ -63,6 +63,12 @@
 }
 
 impl Message {
+    /// Whether this is an answer whose session description ends within a line. If nothing has been read behind it, its
+    /// length may be too small, and the rest still to come.
+    pub fn may_be_cut_off(&self) -> bool {
+        let is_answer = matches!(self.start, StartLine::Response(200..=299));
+        is_answer && !self.body.is_empty() && !self.body.ends_with(b"\n")
+    }
     /// The session description; `None` if it is not text or not the whole of it.
     pub fn description(&self) -> Option<&str> {
         std::str::from_utf8(&self.body).ok().filter(|_| self.length_fits)
--- a/tests/bad_peers.rs
+++ b/tests/bad_peers.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use support::{
     list_entry, name, on_one_thread, Caller, Controller, EventKind, EventLog, RecordedEvent, ResponseFault,
-    ServerBehaviour,
+    ScriptedServer, ServerBehaviour,
 };
 
 fn answers(text: &str) -> ServerBehaviour {
@@ -112,3 +112,52 @@
         assert!(controller.instance.counters().bulletin_failures > 0);
     });
 }
+
+/// Guards against a description that is served cut off because the rest, which shows that its length was too small, comes
+/// in a later piece (review case 6).
+#[test]
+fn answer_with_a_length_too_small_in_two_pieces_is_not_served_cut_off() {
+    on_one_thread(async {
+        let world = EventLog::default();
+        let server = ScriptedServer::start("s0").await;
+        let (controller, _bulletin) = Controller::with_scripted_servers(&world, &[&server], |_| {}).await;
+        let mut connection = server.accept_ready().await;
+        let caller = Caller::connect(&world, "c", controller.at).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        connection.expect_request("INVITE").await;
+        let (begin, rest) = ("m=audio 310", "00 RTP/AVP 0 8 101\r\n");
+        let head = format!("SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 1 INVITE\r\n", name(1));
+        connection.send(&format!("{head}Content-Length: {}\r\n\r\n{begin}", begin.len())).await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        connection.send(rest).await;
+        let mut next = server.accept_ready().await;
+        while next.next().await.expect("an open connection") != ("INVITE".to_owned(), name(1)) {}
+        next.answers(&name(1), &format!("{begin}{rest}")).await;
+        let answer = world.final_answer(&name(1)).await;
+        assert_eq!(answer.kind, EventKind::Ready(format!("{begin}{rest}")));
+        let c = controller.instance.counters();
+        assert_eq!((c.spoilt, c.completed), (1, 1));
+    });
+}
+
+/// A description need not end with a line end: with the stream still open, ended, or another message behind it.
+#[rstest]
+#[case::nothing_follows("", false)]
+#[case::stream_ends("", true)]
+#[case::message_follows("NOTIFY sip:p@net SIP/2.0\r\nCSeq: 1 NOTIFY\r\nContent-Length: 0\r\n\r\n", false)]
+fn description_without_a_line_end_is_served_whole(#[case] following: &str, #[case] ends: bool) {
+    on_one_thread(async {
+        let world = EventLog::default();
+        let server = ScriptedServer::start("s0").await;
+        let (controller, _bulletin) = Controller::with_scripted_servers(&world, &[&server], |_| {}).await;
+        let mut connection = server.accept_ready().await;
+        let caller = Caller::connect(&world, "c", controller.at).await;
+        caller.open(&name(1), 9_000, 0, "x").await;
+        connection.expect_request("INVITE").await;
+        let head = format!("SIP/2.0 200 OK\r\nCall-ID: {}\r\nCSeq: 1 INVITE\r\n", name(1));
+        connection.send(&format!("{head}Content-Length: 7\r\n\r\nm=audio{following}")).await;
+        let _open = (!ends).then_some(connection);
+        assert_eq!(world.final_answer(&name(1)).await.kind, EventKind::Ready("m=audio".to_owned()));
+        assert_eq!(controller.instance.counters().malformed_sip, 0);
+    });
+}
