Let the timeout for a directory's responses adapt, so that a slow bulletin is heard

Cause: a response had 500 ms from its first byte to its last, the same at every retry, and nothing of an abandoned one is kept; a bulletin that needs 0.9 s was never heard. DNS-SD queries had the same fixed timeout.

Change: ResponseTimeout doubles the timeout after a response that came too late, up to 3 s (the timeouts before it and it add up to less than the 7 s after which news counts as told), and sets it to twice the time of one that came in time. The long polling moves into directory/bulletin/polling.rs, in shorter functions.

There is no test of a slow resolver.

--- a/crates/lockpoint-lab/src/bulletin.rs
+++ b/crates/lockpoint-lab/src/bulletin.rs
@@ -36,6 +36,8 @@
     pub response_fault: Cell<Option<ResponseFault>>,
     /// The size of the pieces in which it writes, in bytes; 0: in one piece.
     pub pieces: Cell<usize>,
+    /// How long it takes to write a response, in several pieces.
+    pub write_time: Cell<Duration>,
 }
 
 /// An entry of the list.
@@ -72,6 +74,7 @@
             published: Notify::new(),
             response_fault: Cell::new(None),
             pieces: Cell::new(0),
+            write_time: Cell::new(Duration::ZERO),
         });
         let service = bulletin.clone();
         spawn_local(async move {
@@ -140,9 +143,32 @@
                     },
                 }
             }
-            if write_in_pieces(self.pieces.get(), &mut writer, answer.as_bytes()).await.is_err() {
+            let written = if self.write_time.get().is_zero() {
+                write_in_pieces(self.pieces.get(), &mut writer, answer.as_bytes()).await
+            } else {
+                write_within(self.write_time.get(), &mut writer, answer.as_bytes()).await
+            };
+            if written.is_err() {
                 return;
             }
         }
     }
 }
+
+/// Writes a response in pieces, the first at once and the last after `write_time`.
+async fn write_within(
+    write_time: Duration,
+    writer: &mut (impl tokio::io::AsyncWrite + Unpin),
+    response: &[u8],
+) -> std::io::Result<()> {
+    const PIECES: usize = 10;
+    let pieces: Vec<&[u8]> = response.chunks(response.len().div_ceil(PIECES)).collect();
+    let pause = write_time / u32::try_from(pieces.len().saturating_sub(1).max(1)).unwrap_or(1);
+    for (at, piece) in pieces.iter().enumerate() {
+        if at > 0 {
+            tokio::time::sleep(pause).await;
+        }
+        writer.write_all(piece).await?;
+    }
+    Ok(())
+}
--- a/src/directory/bulletin.rs
+++ b/src/directory/bulletin.rs
@@ -1,28 +1,16 @@
 //! The bulletin: numbered events over HTTP long polling, with one poll always open.
 
-use std::cell::RefCell;
+mod polling;
+
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::Value;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::core::{DirectoryEntry, Protocol};
 use crate::interface::{Cell, ServerState};
+pub use polling::follow;
 
-/// How long a poll may stay unanswered, in milliseconds. Short, so that a connection that died silently is
-/// noticed.
-const POLL_TIMEOUT_MS: u64 = 1_000;
-/// A response must be complete this long after the end of that time, and this long after its first byte: the
-/// bulletin may stall, or send a little now and then without ever completing.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout for connecting.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Shortest and longest delay after a failure.
-const RETRY_DELAY: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(250));
 /// Longest response.
 const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
 
@@ -141,6 +129,9 @@
     /// The connection failed.
     #[error("connection to the bulletin failed: {0}")]
     Connection(String),
+    /// A response was not complete in time.
+    #[error("connection to the bulletin failed: timed out")]
+    TimedOut,
     /// The response is not valid HTTP.
     #[error("malformed response from the bulletin: {0}")]
     Http(String),
@@ -295,97 +286,3 @@
         }
     }
 }
-
-/// Follows the bulletin for good. `take` gets each page, advances the cursor and returns what it could not
-/// use; `failed` gets each failure.
-pub async fn follow(
-    address: SocketAddr,
-    cursor: &RefCell<Cursor>,
-    zones: &[String],
-    mut take: impl FnMut(Page) -> Result<(), BulletinError>,
-    mut failed: impl FnMut(BulletinError),
-) {
-    let mut delay = RETRY_DELAY.0;
-    loop {
-        let before = cursor.borrow().after();
-        let ended = poll_repeatedly(address, cursor, zones, &mut take).await;
-        // A session that ended in order or brought news was no failure. Events between two polls would arrive
-        // late, so the next one begins soon.
-        if ended.is_ok() || cursor.borrow().after() > before {
-            delay = RETRY_DELAY.0;
-        }
-        if let Err(error) = ended {
-            failed(error);
-        }
-        tokio::time::sleep(delay).await;
-        delay = (delay * 2).min(RETRY_DELAY.1);
-    }
-}
-
-async fn poll_repeatedly(
-    address: SocketAddr,
-    cursor: &RefCell<Cursor>,
-    zones: &[String],
-    take: &mut impl FnMut(Page) -> Result<(), BulletinError>,
-) -> Result<(), BulletinError> {
-    let io_error = |e: std::io::Error| BulletinError::Connection(e.to_string());
-    let timed_out = |_| BulletinError::Connection("timed out".to_owned());
-    let mut stream =
-        timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.map_err(timed_out)?.map_err(io_error)?;
-    let _ = stream.set_nodelay(true);
-    let mut bytes: Vec<u8> = Vec::new();
-    let mut answered = false;
-    loop {
-        let (asked_at, before) = (Instant::now(), cursor.borrow().after());
-        let request = format!(
-            "GET /bulletins?after={}&patience={POLL_TIMEOUT_MS} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n",
-            before
-        );
-        // A connection that has brought responses may end between two polls.
-        let ended_with = |error: BulletinError, between_responses: bool| {
-            if answered && between_responses {
-                Ok(())
-            } else {
-                Err(error)
-            }
-        };
-        if let Err(error) = stream.write_all(request.as_bytes()).await {
-            return ended_with(io_error(error), true);
-        }
-        let mut ended = false;
-        let mut deadline = Instant::now() + Duration::from_millis(POLL_TIMEOUT_MS) + RESPONSE_TIMEOUT;
-        let body = loop {
-            if let Some((body, used)) = parse_response(&bytes, ended)? {
-                bytes.drain(..used);
-                break body;
-            }
-            if ended {
-                return Err(BulletinError::Connection("closed by the peer".to_owned()));
-            }
-            if bytes.len() > MAX_RESPONSE_BYTES {
-                return Err(BulletinError::Http("too long".to_owned()));
-            }
-            let first = bytes.is_empty();
-            let read = timeout_at(deadline, stream.read_buf(&mut bytes)).await;
-            ended = match read.map_err(timed_out)? {
-                Ok(0) if first => {
-                    return ended_with(BulletinError::Connection("closed by the peer".to_owned()), true)
-                }
-                Ok(n) => n == 0,
-                Err(error) => return ended_with(io_error(error), first),
-            };
-            if first {
-                deadline = deadline.min(Instant::now() + RESPONSE_TIMEOUT);
-            }
-        };
-        take(parse_page(&body, zones)?)?;
-        answered = true;
-        if ended {
-            return Ok(());
-        }
-        // The bulletin was asked to wait for news; one that does not must not be polled without a pause.
-        if cursor.borrow().after() == before && asked_at.elapsed() < RETRY_DELAY.1 {
-            tokio::time::sleep(RETRY_DELAY.0).await;
-        }
-    }
-}
--- a/src/directory/dns_sd.rs
+++ b/src/directory/dns_sd.rs
@@ -12,10 +12,9 @@
 use tokio::time::timeout;
 
 use crate::core::{DirectoryEntry, Protocol};
+use crate::directory::response_timeout::ResponseTimeout;
 use crate::interface::{Cell, ServerState};
 
-/// Timeout for one response.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failure, and the shortest one between two rounds.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Records are refreshed after this fraction of their TTL.
@@ -213,8 +212,9 @@
     mut take: impl FnMut(Vec<DirectoryEntry>),
     mut report: impl FnMut(Result<(), DnsError>),
 ) {
+    let mut response_timeout = ResponseTimeout::default();
     loop {
-        let round = query_service(resolver, &service, &zones, id, cache).await;
+        let round = query_service(resolver, &service, &zones, id, cache, &mut response_timeout).await;
         let wait = if round.is_ok() { cache.refresh_in(Instant::now()) } else { RETRY_DELAY };
         report(round);
         cache.expire(Instant::now());
@@ -235,13 +235,14 @@
     zones: &[String],
     id: &mut u16,
     cache: &mut ServiceCache,
+    response_timeout: &mut ResponseTimeout,
 ) -> Result<(), DnsError> {
     let io_error = |e: std::io::Error| DnsError::Socket(e.to_string());
     let any_address = if resolver.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
     let socket = UdpSocket::bind(any_address).await.map_err(io_error)?;
     socket.connect(resolver).await.map_err(io_error)?;
     let service = Name::from_utf8(service).map_err(|_| DnsError::Name(service.to_owned()))?;
-    let pointers = send_query(&socket, id, &service, RecordType::PTR).await?;
+    let pointers = send_query(&socket, id, &service, RecordType::PTR, response_timeout).await?;
     let mut named = Vec::new();
     for record in pointers.of(&service, RecordType::PTR).take(MAX_INSTANCES) {
         if let RData::PTR(instance) = &record.data {
@@ -253,7 +254,7 @@
         let mut all = pointers.clone();
         for kind in [RecordType::SRV, RecordType::TXT] {
             if all.of(instance, kind).next().is_none() {
-                all.records.extend(send_query(&socket, id, instance, kind).await?.records);
+                all.records.extend(send_query(&socket, id, instance, kind, response_timeout).await?.records);
             }
         }
         let target = all.of(instance, RecordType::SRV).find_map(|r| match &r.data {
@@ -264,7 +265,8 @@
             let has_address =
                 [RecordType::A, RecordType::AAAA].iter().any(|k| all.of(&target, *k).next().is_some());
             if !has_address {
-                all.records.extend(send_query(&socket, id, &target, RecordType::A).await?.records);
+                all.records
+                    .extend(send_query(&socket, id, &target, RecordType::A, response_timeout).await?.records);
             }
         }
         if let Some((entry, ttl)) = entry_from_records(instance, &all, zones) {
@@ -282,13 +284,15 @@
     id: &mut u16,
     name: &Name,
     kind: RecordType,
+    response_timeout: &mut ResponseTimeout,
 ) -> Result<Response, DnsError> {
     let io_error = |e: std::io::Error| DnsError::Socket(e.to_string());
     *id = id.wrapping_add(1);
     let bytes = query(*id, name, kind).ok_or_else(|| DnsError::Name(name.to_ascii()))?;
     socket.send(&bytes).await.map_err(io_error)?;
+    let sent_at = Instant::now();
     let mut buffer = vec![0; usize::from(MAX_PAYLOAD)];
-    let answered = timeout(RESPONSE_TIMEOUT, async {
+    let answered = timeout(response_timeout.current(), async {
         loop {
             let n = socket.recv(&mut buffer).await.map_err(io_error)?;
             // Datagrams that do not answer this query are ignored.
@@ -297,5 +301,14 @@
             }
         }
     });
-    answered.await.map_err(|_| DnsError::TimedOut)?
+    match answered.await {
+        Ok(response) => {
+            response_timeout.record_response(sent_at.elapsed());
+            response
+        }
+        Err(_) => {
+            response_timeout.record_timeout();
+            Err(DnsError::TimedOut)
+        }
+    }
 }
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod bulletin;
 pub mod dns_sd;
+mod response_timeout;
--- a/tests/bad_peers.rs
+++ b/tests/bad_peers.rs
@@ -161,3 +161,34 @@
         assert_eq!(controller.instance.counters().malformed_sip, 0);
     });
 }
+
+/// What the bulletin has to tell counts as told after this long, whether it has arrived or not.
+const TOLD_WITHIN: Duration = Duration::from_secs(7);
+
+/// Guards against a bulletin that is never heard because each of its responses takes a little longer than a fixed timeout
+/// (review case 8). Also against one that is heard once and then never again.
+#[rstest]
+#[case::a_little_slow(Duration::from_millis(900))]
+#[case::very_slow(Duration::from_millis(2_000))]
+fn drain_told_by_a_slow_bulletin_is_noticed_in_time(#[case] write_time: Duration) {
+    on_one_thread(async {
+        let world = EventLog::default();
+        let does = [answers("a"), answers("b"), answers("c")];
+        let (controller, servers, bulletin) = Controller::with_servers(&world, &does).await;
+        bulletin.write_time.set(write_time);
+        for drained in 1..=2 {
+            let server = drained - 1;
+            let told = std::time::Instant::now();
+            let entry = list_entry(&format!("s{server}"), servers[server].at, server as u16, "draining");
+            bulletin.publish(false, vec![entry]);
+            let drains = |i: &lockpoint::instance::Instance| {
+                let servers = i.servers();
+                let draining =
+                    servers.iter().filter(|l| l.state == lockpoint::interface::ServerState::Draining);
+                draining.count() == drained
+            };
+            controller.wait_for("the drain is noticed", drains).await;
+            assert!(told.elapsed() < TOLD_WITHIN, "noticed after {:?}", told.elapsed());
+        }
+    });
+}
