Let a release on another connection wait for the held answer of its call

Cause: an answer that is held is not handled yet, so a release that came after it on another connection overtook it.

Change: the connection remembers whose answer it holds (HeldAnswer, part of the state that is handed over); a release of that call is confirmed and passed on right after the answer, or when the connection ends.

--- a/src/instance/links.rs
+++ b/src/instance/links.rs
@@ -148,6 +148,7 @@
                     let is_last = used + length == bytes.len();
                     if is_last && following == Following::Possible && message.may_be_cut_off() {
                         self.holds_answer = true;
+                        self.instance.0.state.borrow_mut().sip.hold_answer(self.no, &message);
                         return Ok(used);
                     }
                     used += length;
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -15,7 +15,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::{
-    AttemptError, DeadlineOwner, Input, LoadValues, Progress, ServerEvent, Sid, TransportError, CAUSE_CUT,
+    AttemptError, DeadlineOwner, Input, LoadValues, Progress, ServerEvent, Sid, TransportError,
+    CAUSE_CLEARED, CAUSE_CUT,
 };
 use crate::interface::{ServerId, Span, Time};
 use crate::net::conn::CloseReason;
@@ -77,6 +78,16 @@
     queued_at: Time,
 }
 
+/// An answer whose end is not certain yet: it has been read, and is handled once something follows it or a timeout has
+/// passed.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct HeldAnswer {
+    sid: Sid,
+    /// The cause of the release of the same call, if it has arrived on another connection meanwhile: it follows the
+    /// answer.
+    release_cause: Option<u16>,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct Link {
     queue: Rc<WriteQueue>,
@@ -101,6 +112,9 @@
     /// When anything last arrived on it.
     #[serde(default)]
     last_input: Time,
+    /// An answer on it that is not handled yet.
+    #[serde(default)]
+    held_answer: Option<HeldAnswer>,
     /// Whether it carries set-ups: something has arrived on it, or it has been open for long enough.
     #[serde(rename = "speaks")]
     carries_set_ups: bool,
@@ -178,6 +192,10 @@
         }
         old
     }
+    /// The answer of a call that is held on one of the connections.
+    fn held_answer(&mut self, sid: Sid) -> Option<&mut HeldAnswer> {
+        self.links.values_mut().filter_map(|link| link.held_answer.as_mut()).find(|held| held.sid == sid)
+    }
     /// The connection for releases, other than `excluded`: an open one, preferably one with input since its last
     /// set-up, and with the latest input.
     fn link_for_releases(&self, excluded: Option<u64>) -> Option<u64> {
@@ -527,6 +545,7 @@
                 unanswered_since: None,
                 last_seen: Time::default(),
                 last_input: Time::default(),
+                held_answer: None,
                 carries_set_ups: false,
             },
         );
@@ -728,6 +747,7 @@
         if !matches!(how, LinkEnd::Closed(_)) {
             self.counts.connect_failures += 1;
         }
+        let held_answer = link.held_answer.take();
         let unsent = link.queue.take_unsent();
         let mut waiting = Vec::new();
         for message in unsent {
@@ -753,6 +773,7 @@
             let error = AttemptError { error: TransportError::ConnectionClosed, progress: Progress::Written };
             output.inputs.push(Input::Server(server, *sid, ServerEvent::Lost(error)));
         }
+        self.release_after_held_answer(server, held_answer, output);
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         // A release sent on a connection that the call server was just closing must be sent again, and one
         // not written yet must not wait for the next connection while another is open.
@@ -807,10 +828,51 @@
         }
     }
 
+    /// An answer has been read on a connection whose end is not certain yet. It is handled later, before any other
+    /// message of its connection.
+    pub fn hold_answer(&mut self, no: u64, message: &Message) {
+        let Some(sid) = Sid::parse(&message.call_id) else { return };
+        let Some(server) = self.server_of_link.get(&no) else { return };
+        let link = self.trunks.get_mut(server).and_then(|trunk| trunk.links.get_mut(&no));
+        if let Some(link) = link {
+            link.held_answer.get_or_insert(HeldAnswer { sid, release_cause: None });
+        }
+    }
+
     /// Handles a message received on a connection.
     pub fn handle_message(&mut self, no: u64, message: &Message, now: Time, output: &mut AdapterOutput) {
         self.counts.received += 1;
         let Some(&server) = self.server_of_link.get(&no) else { return };
+        let link = self.trunks.get_mut(&server).and_then(|trunk| trunk.links.get_mut(&no));
+        let held_answer = link.and_then(|link| link.held_answer.take());
+        self.process_message(server, no, message, now, output);
+        self.release_after_held_answer(server, held_answer, output);
+    }
+
+    /// Passes on the release that arrived while the answer of its call was held, now that the answer has been handled or
+    /// its connection has ended.
+    fn release_after_held_answer(
+        &mut self,
+        server: ServerId,
+        held_answer: Option<HeldAnswer>,
+        output: &mut AdapterOutput,
+    ) {
+        let Some(HeldAnswer { sid, release_cause: Some(cause) }) = held_answer else { return };
+        if let Some(trunk) = self.trunks.get_mut(&server) {
+            trunk.remove_established(sid);
+        }
+        let event = ServerEvent::Released(cause, LoadValues::new());
+        output.inputs.push(Input::Server(server, sid, event));
+    }
+
+    fn process_message(
+        &mut self,
+        server: ServerId,
+        no: u64,
+        message: &Message,
+        now: Time,
+        output: &mut AdapterOutput,
+    ) {
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         let Some(link) = trunk.links.get_mut(&no) else { return };
         link.unanswered_since = None;
@@ -892,9 +954,19 @@
             (StartLine::Request(method), _, sid) => match (method.as_str(), sid) {
                 ("BYE", Some(sid)) => {
                     link.queue.push(response(200, "OK", message), None);
-                    link.set_ups.remove(&sid);
+                    let cause = message.cause.unwrap_or(CAUSE_CLEARED);
+                    if let Some(held_answer) = trunk.held_answer(sid) {
+                        held_answer.release_cause.get_or_insert(cause);
+                        if !message.report.is_empty() {
+                            output.inputs.push(Input::Load(server, message.report.clone()));
+                        }
+                        return;
+                    }
+                    if let Some(link) = trunk.links.get_mut(&no) {
+                        link.set_ups.remove(&sid);
+                    }
                     trunk.remove_established(sid);
-                    let event = ServerEvent::Released(message.cause.unwrap_or(16), message.report.clone());
+                    let event = ServerEvent::Released(cause, message.report.clone());
                     output.inputs.push(Input::Server(server, sid, event));
                 }
                 ("NOTIFY", _) => {
--- a/tests/bad_peers.rs
+++ b/tests/bad_peers.rs
@@ -192,3 +192,30 @@
         }
     });
 }
+
+/// Guards against a release that overtakes its answer, and so ends the call as failed, while the answer is held because its
+/// description ends within a line.
+#[test]
+fn release_on_another_connection_follows_an_answer_that_is_held() {
+    on_one_thread(async {
+        let world = EventLog::default();
+        let server = ScriptedServer::start("s0").await;
+        let (controller, _bulletin) = Controller::with_scripted_servers(&world, &[&server], |_| {}).await;
+        let mut first = server.accept_ready().await;
+        let caller = Caller::connect(&world, "c", controller.at).await;
+        for call in [1, 2] {
+            caller.open(&name(call), 9_000, 0, "x").await;
+            first.expect_request("INVITE").await;
+        }
+        // Opened because a set-up is outstanding on the first.
+        let mut second = server.accept_ready().await;
+        first.answers(&name(1), "y").await;
+        // Long enough for the answer to be read, and shorter than it is held; without this either may be read first.
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        second.releases(&name(1), 16).await;
+        assert_eq!(world.final_answer(&name(1)).await.kind, EventKind::Ready("y".into()));
+        let released = |seen: &RecordedEvent| seen.sid == name(1) && seen.kind == EventKind::Close(16, None);
+        world.wait_for("the release", released).await;
+        controller.wait_for("no call stands", |i| i.counters().standing == 0).await;
+    });
+}
