Continue IAX2 legs across a restart of the agent, or end their calls in order

Cause: a stopping process waited for set-ups and answers only; it ended with established legs, told neither side, and left nothing from which the next process could know them. It did not wait for the confirmation of its last releases either.

Change: the agent leaves the legs of calls at SIP call servers in a file beside the control socket, and the next process continues them; the calls are established again when the directory lists their call server with the same start. Legs that cannot be left end with HANGUP and BYE. A stopping process waits up to 500 ms for the confirmation of its last releases. The platform's controller has no IAX2 front and writes no file.

--- a/src/control.rs
+++ b/src/control.rs
@@ -19,6 +19,7 @@
 use crate::config::{self, InstanceConfig, OperatorConfig};
 use crate::console::{ConsoleCommand, ConsoleReply};
 use crate::drain::Phase;
+use crate::instance::leg_handover::leg_file;
 use crate::instance::{BoundInstance, Instance, StartError};
 use crate::interface::ServerState;
 
@@ -178,7 +179,9 @@
     let mut opened = Vec::new();
     for instance in config.instances {
         let name = instance.name.clone();
-        opened.push(BoundInstance::open(instance).await.map_err(|why| AgentError::Start { name, why })?);
+        let leg_file = leg_file(&config.control, &name);
+        let bound = BoundInstance::open(instance).await.map_err(|why| AgentError::Start { name, why })?;
+        opened.push((bound, leg_file));
     }
     let listener = listen(&config.control).await?;
     let agent = Rc::new(Agent {
@@ -188,7 +191,8 @@
         changed: Notify::new(),
         stopping: RefCell::new(false),
     });
-    for bound in opened {
+    for (bound, leg_file) in opened {
+        bound.handle().resume_legs(&leg_file);
         agent.start(bound);
     }
     let serving = spawn_local(serve(agent.clone(), listener));
@@ -198,6 +202,7 @@
         tokio::select! {
             _ = &mut stop, if !stop_requested => {
                 stop_requested = true;
+                agent.leave_legs();
                 agent.stop_instances(None);
                 *agent.stopping.borrow_mut() = true;
             }
@@ -427,6 +432,14 @@
         Reply::ConsoleAnswers { instances: answers.collect() }
     }
 
+    /// The agent stops, as for a planned restart: legs of IAX2 callers are left to the next process. Those of an instance
+    /// that alone is stopped are not.
+    fn leave_legs(&self) {
+        for running in self.running.borrow().iter() {
+            running.instance.leave_legs_in(leg_file(&self.control, &running.name));
+        }
+    }
+
     fn stop_instances(&self, name_filter: Option<&str>) {
         for running in self.running.borrow().iter().filter(|r| name_filter.is_none_or(|name| r.name == name))
         {
--- a/src/core/call_registry.rs
+++ b/src/core/call_registry.rs
@@ -83,6 +83,14 @@
         self.established.insert(sid, EstablishedCall { client, server, id, attempt, since });
         *self.established_per_client.entry(client).or_default() += 1;
     }
+    /// The established calls with their clients and call servers.
+    pub(super) fn established_calls(&self) -> impl Iterator<Item = (Sid, Client, ServerId)> + '_ {
+        self.established.iter().map(|(sid, call)| (*sid, call.client, call.server))
+    }
+    /// Since when a call has been established.
+    pub(super) fn established_since(&self, sid: Sid) -> Option<Time> {
+        Some(self.established.get(&sid)?.since)
+    }
     fn remove_established(&mut self, sid: Sid) -> Option<EstablishedCall> {
         let call = self.established.remove(&sid)?;
         if let Some(count) = self.established_per_client.get_mut(&call.client) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod call_registry;
 pub mod deadlines;
 mod fleet;
+mod leg_calls;
 mod recover;
 mod relay;
 mod route;
@@ -29,6 +30,7 @@
 use call_registry::CallRegistry;
 use deadlines::Deadlines;
 pub use fleet::FleetView;
+pub use leg_calls::LegCall;
 pub use relay::{CAUSE_CLEARED, CAUSE_CUT};
 pub use types::*;
 
--- a/src/core/recover.rs
+++ b/src/core/recover.rs
@@ -21,10 +21,28 @@
     started: Time,
     /// Recorded calls whose call server is not listed yet.
     undecided: BTreeMap<Sid, CallRecord>,
+    /// Clients of those of them whose leg was handed over by the previous process.
+    leg_clients: BTreeMap<Sid, Client>,
     /// Recorded calls that count as established, with their call server and its start in Unix milliseconds.
     restored: BTreeMap<Sid, (ServerId, u64)>,
 }
 
+impl RecoveryState {
+    /// Expects a directory to list the call server of a call whose leg was handed over.
+    pub(super) fn expect_leg_call(&mut self, now: Time, sid: Sid, client: Client, record: CallRecord) {
+        if self.undecided.is_empty() {
+            self.started = now;
+        }
+        self.leg_clients.insert(sid, client);
+        self.undecided.insert(sid, record);
+    }
+
+    /// When undecided calls have waited long enough for the list.
+    pub(super) fn undecided_until(&self) -> Time {
+        self.started.plus(self.config.directory_timeout)
+    }
+}
+
 impl Core {
     /// Collects from now on the changes that a recovery needs, for [`Core::take_changes`].
     pub fn record_changes(&mut self) {
@@ -117,7 +135,7 @@
     /// Advances the recovery: its phase may have ended, and undecided calls may have waited long enough for the list.
     pub(super) fn advance_recovery(&mut self, out: &mut Vec<Effect>) {
         let now = self.now;
-        let Some(recovery) = &mut self.recovery.recovery else { return };
+        let Some(recovery) = &mut self.recovery.recovery else { return self.decide_all_calls(out) };
         let entered = recovery.advance(now);
         let ends = recovery.phase_end();
         out.extend(entered.iter().map(|phase| Effect::Log(phase.to_string())));
@@ -126,11 +144,8 @@
             let ready: Vec<ServerId> = ready.map(|(server, _)| *server).collect();
             ready.into_iter().for_each(|server| self.relist(server, ServerState::Ready, out));
         }
-        let undecided: Vec<Sid> = self.recovery.undecided.keys().copied().collect();
-        for sid in undecided {
-            self.decide_call(sid, None, out);
-        }
-        let until = self.recovery.started.plus(self.recovery.config.directory_timeout);
+        self.decide_all_calls(out);
+        let until = self.recovery.undecided_until();
         let next = ends.into_iter().chain((!self.recovery.undecided.is_empty()).then_some(until)).min();
         match next {
             Some(at) => self.deadlines.set(at.max(now), Deadline::Recovery),
@@ -164,6 +179,14 @@
         }
     }
 
+    /// Decides on all recorded calls whose call servers are not listed.
+    fn decide_all_calls(&mut self, out: &mut Vec<Effect>) {
+        let undecided: Vec<Sid> = self.recovery.undecided.keys().copied().collect();
+        for sid in undecided {
+            self.decide_call(sid, None, out);
+        }
+    }
+
     /// Restores a recorded call or ends it; `listed`: its call server's id and start, if a directory lists it.
     fn decide_call(&mut self, sid: Sid, listed: Option<(ServerId, u64)>, out: &mut Vec<Effect>) {
         let (config, started) = (self.recovery.config, self.recovery.started);
@@ -175,10 +198,13 @@
                 let (id, attempt) = (CallId(self.next_call), 0);
                 self.next_call = self.next_call.wrapping_add(1);
                 let since = Time(call.since_ms.saturating_mul(1_000));
-                self.registry.add_established(sid, NO_CLIENT, server, id, attempt, since);
+                let leg_client = self.recovery.leg_clients.remove(&sid);
+                let leg_client = leg_client.filter(|client| self.clients.contains_key(client));
+                let client = leg_client.unwrap_or(NO_CLIENT);
+                self.registry.add_established(sid, client, server, id, attempt, since);
                 out.push(Effect::RestoreCall { server, sid, number: call.number.as_str().into() });
-                if call.leg {
-                    // Its caller's leg ended with the previous process: nobody is on the call.
+                if call.leg && leg_client.is_none() {
+                    // Its caller's leg ended with the previous process, or has ended since: nobody is on the call.
                     self.end_established(sid, CAUSE_CUT, out);
                 } else {
                     self.recovery.restored.insert(sid, (server, started_ms));
@@ -188,8 +214,9 @@
             (RecoveredCallState::Established | RecoveredCallState::Ended, _) => {
                 let leg = self.recovery.undecided.remove(&sid).is_some_and(|call| call.leg);
                 self.remember_ended(sid);
-                if !leg {
-                    self.send_release(NO_CLIENT, sid, CAUSE_CUT, 0, out);
+                let leg_client = self.recovery.leg_clients.remove(&sid);
+                if let Some(client) = leg_client.or((!leg).then_some(NO_CLIENT)) {
+                    self.send_release(client, sid, CAUSE_CUT, 0, out);
                 }
             }
         }
--- a/src/front/iax2/mod.rs
+++ b/src/front/iax2/mod.rs
@@ -15,6 +15,7 @@
 use crate::iax2::bounds::Bounds;
 use crate::iax2::describe::{add_description, description_of};
 use crate::iax2::frame::{ie, parse, unsupport_reply, Control, Datagram, Elements, Frame, Iax, Kind};
+use crate::iax2::leg::LegState;
 use crate::iax2::legs::{LegEvent, Legs};
 use crate::iax2::registrar::Registrar;
 use crate::iax2::tokens::TokenPolicy;
@@ -153,6 +154,29 @@
         self.leg_of_client.len()
     }
 
+    /// The state of a caller's leg, for another process.
+    pub fn leg_state(&self, client: u64) -> Option<LegState> {
+        self.legs.state(*self.leg_of_client.get(&client)?)
+    }
+
+    /// Continues the leg of an established call of another process; returns the number of its client.
+    pub fn resume_leg(
+        &mut self,
+        sid: Sid,
+        state: &LegState,
+        now: Time,
+        output: &mut AdapterOutput,
+    ) -> Option<u64> {
+        let client = self.last_client + 1;
+        if !self.legs.resume(state, CallerLeg { client, sid }, now) {
+            return None;
+        }
+        self.last_client = client;
+        self.leg_of_client.insert(client, state.local);
+        self.arm(state.local, output);
+        Some(client)
+    }
+
     /// Whether every frame sent has been acknowledged.
     pub fn all_acked(&self) -> bool {
         self.legs.all_acked()
--- a/src/iax2/leg.rs
+++ b/src/iax2/leg.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::iax2::frame::{ie, Elements, Frame, Iax, Kind};
 use crate::iax2::round_trip::{next_interval, MAX_RETRANSMISSIONS};
 use crate::interface::{Span, Time};
@@ -71,7 +73,44 @@
     round_trip: Option<Span>,
 }
 
+/// What another process needs to continue a leg on which every frame has been acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LegState {
+    /// The local call number.
+    pub local: u16,
+    /// The peer's call number.
+    pub remote: u16,
+    /// The peer's address.
+    pub peer: SocketAddr,
+    started: Time,
+    last_timestamp: Option<u32>,
+    oseq: u8,
+    iseq: u8,
+}
+
 impl Leg {
+    /// The state for another process.
+    pub fn state(&self) -> LegState {
+        LegState {
+            local: self.local,
+            remote: self.remote,
+            peer: self.peer,
+            started: self.started,
+            last_timestamp: self.last_timestamp,
+            oseq: self.oseq,
+            iseq: self.iseq,
+        }
+    }
+
+    /// Continues a leg of another process.
+    pub fn resume(state: &LegState, first_interval: Span, now: Time) -> Self {
+        let mut leg = Leg::new(state.local, state.remote, state.peer, first_interval, now);
+        leg.started = state.started;
+        leg.last_timestamp = state.last_timestamp;
+        (leg.oseq, leg.iseq) = (state.oseq, state.iseq);
+        leg
+    }
+
     /// Creates a leg that starts at `now`.
     pub fn new(local: u16, remote: u16, peer: SocketAddr, first_interval: Span, now: Time) -> Self {
         let (unacked, round_trip) = (VecDeque::new(), None);
--- a/src/iax2/legs.rs
+++ b/src/iax2/legs.rs
@@ -6,7 +6,7 @@
 
 use crate::iax2::bounds::{Bounds, IncomingLegCounts};
 use crate::iax2::frame::{ie, Elements, Frame, Iax, Kind, MAX_CALL_NUMBER};
-use crate::iax2::leg::{FrameOutcome, Leg};
+use crate::iax2::leg::{FrameOutcome, Leg, LegState};
 use crate::iax2::round_trip::RoundTrips;
 use crate::interface::{Span, Time};
 
@@ -141,6 +141,35 @@
         Some(local)
     }
 
+    /// The state of a leg that has not ended, for another process.
+    pub fn state(&self, no: u16) -> Option<LegState> {
+        let entry = self.entries.get(&no).filter(|entry| entry.owner.is_some())?;
+        Some(entry.leg.state())
+    }
+
+    /// Continues the leg of an established call of another process. `false`: its number is in use here, or a limit is
+    /// reached.
+    pub fn resume(&mut self, state: &LegState, owner: T, now: Time) -> bool {
+        if self.entries.contains_key(&state.local)
+            || self.incoming.add(state.peer.ip(), &self.bounds).is_err()
+        {
+            return false;
+        }
+        let leg = Leg::resume(state, self.round_trips.first_interval(state.peer.ip()), now);
+        self.by_peer.insert((state.peer, state.remote), state.local);
+        self.last_number = self.last_number.max(state.local);
+        let entry = Entry {
+            leg,
+            owner: Some(owner),
+            established: true,
+            reusable_at: None,
+            new_timestamp: None,
+            tokens_sent: 0,
+        };
+        self.entries.insert(state.local, entry);
+        true
+    }
+
     /// Sends a frame on a leg.
     pub fn send(&mut self, no: u16, kind: Kind, elements: Elements, now: Time, out: &mut Vec<Outgoing>) {
         let Some(entry) = self.entries.get_mut(&no) else { return };
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -4,6 +4,7 @@
 mod counters;
 mod directories;
 mod handover;
+pub mod leg_handover;
 mod links;
 mod operators;
 mod outage_log;
@@ -15,6 +16,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -52,6 +54,8 @@
 use replication::Replication;
 pub use startup::{BoundInstance, StartError};
 
+/// How long a stopping controller waits for the confirmation of its last releases.
+const RELEASES_CONFIRMED_WITHIN: Duration = Duration::from_millis(500);
 /// How often a stopping controller checks whether its last calls have ended.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -141,6 +145,8 @@
     connect_timeout: Cell<Duration>,
     /// Replicated configuration and membership; `None`: off.
     replication: Option<Replication>,
+    /// Where the legs of IAX2 callers are left for the next process; `None`: their calls end with this process.
+    leg_file: RefCell<Option<PathBuf>>,
 }
 
 /// A handle on a running controller.
@@ -200,6 +206,12 @@
             while !self.may_exit() {
                 tokio::time::sleep(STOP_CHECK_INTERVAL).await;
             }
+            self.end_leg_calls();
+            let confirmed_by = tokio::time::Instant::now() + RELEASES_CONFIRMED_WITHIN;
+            while self.has_unconfirmed_releases() && tokio::time::Instant::now() < confirmed_by {
+                tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+            }
+            self.leave_legs();
         };
         tokio::select! {
             _ = stopped => {}
--- a/src/instance/operators.rs
+++ b/src/instance/operators.rs
@@ -111,6 +111,13 @@
         state.drain.may_exit(outstanding, state.core.max_caller_wait(), self.0.clock.now())
     }
 
+    /// Whether releases were sent that callers on IAX2 legs or call servers have not confirmed.
+    pub(super) fn has_unconfirmed_releases(&self) -> bool {
+        let state = self.0.state.borrow();
+        let legs_acked = state.iax2_front.all_acked() && state.iax2_servers.all_acked();
+        !legs_acked || state.sip.has_unconfirmed_releases()
+    }
+
     /// The controller's metrics, one per line.
     pub fn metrics_text(&self) -> String {
         let state = self.0.state.borrow();
--- a/src/instance/startup.rs
+++ b/src/instance/startup.rs
@@ -205,6 +205,7 @@
             server_bytes,
             connect_timeout: Cell::new(Duration::from_micros(config.connect_timeout.0)),
             replication,
+            leg_file: RefCell::default(),
         };
         let instance = Instance(Rc::new(shared));
         let pending = inherited.map(|all| instance.inherit(all, &config)).unwrap_or_default();
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -554,6 +554,16 @@
         Some(no)
     }
 
+    /// The number called of an established call.
+    pub fn number_of(&self, server: ServerId, sid: Sid) -> Option<Rc<str>> {
+        self.trunks.get(&server)?.established.get(&sid).cloned()
+    }
+
+    /// Whether releases were sent and are not confirmed.
+    pub fn has_unconfirmed_releases(&self) -> bool {
+        self.trunks.values().any(|trunk| trunk.releases.has_unconfirmed())
+    }
+
     /// The write queue of a connection, for the task that serves its socket; `None` once the connection is
     /// dropped.
     pub fn queue_of(&self, link: u64) -> Option<Rc<WriteQueue>> {
--- a/src/upstream/sip/releases.rs
+++ b/src/upstream/sip/releases.rs
@@ -73,6 +73,11 @@
         self.confirms |= self.pending.remove(&sid).is_some();
     }
 
+    /// Whether releases were sent and are not confirmed.
+    pub(super) fn has_unconfirmed(&self) -> bool {
+        self.pending.values().any(|release| release.link.is_some())
+    }
+
     /// When the next retransmission is due.
     pub(super) fn next_check(&self) -> Option<Time> {
         self.next_check.filter(|_| !self.pending.is_empty())
