Take a refusal for a call server's death only where no connection is open

Cause: link_ended took a refusal for death unless a connection without an outstanding set-up was open; check_silence knew no sign of life but a new connection.

Change: a refusal means death only where no connection is open, since a dying process resets its connections. For 1 s after one, set-ups open no further connection. A call server silent for 3 s gets an OPTIONS on each open connection, whose answer is a sign of life.

--- a/src/upstream/sip/message.rs
+++ b/src/upstream/sip/message.rs
@@ -254,6 +254,14 @@
     text.into()
 }
 
+/// Writes the test of a connection with this number.
+pub fn connection_test(link: u64) -> Bytes {
+    format!(
+        "OPTIONS sip:ping@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {link:016x}\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n"
+    )
+    .into()
+}
+
 /// Writes the response to a request.
 pub fn response(code: u16, phrase: &str, to: &Message) -> Bytes {
     let Message { via, call_id, cseq: (no, method), .. } = to;
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -22,7 +22,7 @@
 use crate::net::conn::CloseReason;
 use crate::net::queue::{Budget, WriteQueue};
 use crate::upstream::AdapterOutput;
-use message::{parse_report, refusal_from_response, request, response, Message, StartLine};
+use message::{connection_test, parse_report, refusal_from_response, request, response, Message, StartLine};
 use releases::{PendingReleases, ReleaseToSend};
 
 /// Largest number of connections to one call server. Set-ups are spread over them, so that malformed input or
@@ -112,6 +112,9 @@
     /// When anything last arrived on it.
     #[serde(default)]
     last_input: Time,
+    /// When the test was sent on it that has not been answered.
+    #[serde(default)]
+    tested_at: Option<Time>,
     /// An answer on it that is not handled yet.
     #[serde(default)]
     held_answer: Option<HeldAnswer>,
@@ -153,6 +156,9 @@
     #[serde(default)]
     releases: PendingReleases,
     wanted: bool,
+    /// When a connection was last refused.
+    #[serde(default)]
+    refused_at: Option<Time>,
     #[serde(rename = "again")]
     reconnect_delay: Span,
     /// When the call server last showed life on any connection.
@@ -222,6 +228,16 @@
             self.silence_check_at = now.plus(PROBE_AFTER);
         }
     }
+    /// Sends a test on each open connection without one. A sound call server answers it, also where it accepts no
+    /// further connection.
+    fn test_connections(&mut self, now: Time) {
+        for (no, link) in &mut self.links {
+            if link.connected_at.is_some() && link.tested_at.is_none() {
+                link.queue.push(connection_test(*no), None);
+                link.tested_at = Some(now);
+            }
+        }
+    }
     /// When this call server's timer is due: for a silence check or the retransmission of a release.
     fn timer_due_at(&self) -> Option<Time> {
         let silence_check = self.silence_watched.then_some(self.silence_check_at);
@@ -334,6 +350,7 @@
             answered_on: BTreeMap::new(),
             releases: PendingReleases::default(),
             wanted: true,
+            refused_at: None,
             reconnect_delay: RECONNECT_DELAY.0,
             last_seen: Time::default(),
             silence_watched: false,
@@ -458,6 +475,9 @@
             self.open_link(server, output);
             return;
         }
+        if silent >= PROBE_AFTER {
+            trunk.test_connections(now);
+        }
         let opening = trunk.links.values().any(|l| l.connected_at.is_none());
         if silent >= PROBE_AFTER && trunk.wanted && !opening {
             self.open_probe_link(server, now, output);
@@ -545,6 +565,7 @@
                 unanswered_since: None,
                 last_seen: Time::default(),
                 last_input: Time::default(),
+                tested_at: None,
                 held_answer: None,
                 carries_set_ups: false,
             },
@@ -610,7 +631,10 @@
         let spare = self.server_of_link.len() < self.trunks.len() + self.max_links;
         let trunk = self.trunks.get(&server).filter(|t| t.wanted)?;
         // A second connection is always allowed, as the first may have gone silent.
-        let may_open = trunk.links.len() < 2 || (trunk.links.len() < MAX_LINKS && spare);
+        let has_room = trunk.links.len() < 2 || (trunk.links.len() < MAX_LINKS && spare);
+        // Guards against a connection for each set-up at a call server that accepts no more of them.
+        let refused = trunk.refused_at.is_some_and(|at| now.since(at) < RECONNECT_DELAY.1);
+        let may_open = has_room && (trunk.links.is_empty() || !refused);
         let suspect = |l: &Link| l.unanswered_since.is_some_and(|at| now.since(at) > SUSPECT_AFTER);
         let least_loaded = |which: &dyn Fn(&Link) -> bool| {
             let eligible = trunk.links.iter().filter(|(_, l)| which(l));
@@ -720,9 +744,13 @@
         }
         self.end_link(server, no, how, now, output);
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
-        let none_open =
-            trunk.links.values().all(|l| l.connected_at.is_none() || l.unanswered_since.is_some());
+        let none_open = trunk.links.values().all(|link| link.connected_at.is_none());
+        if how == LinkEnd::Refused {
+            trunk.refused_at = Some(now);
+        }
         let dead = match how {
+            // With a connection open it does not: a process that dies resets its connections, and a call server with as
+            // many connections as it accepts refuses further ones.
             LinkEnd::Refused => true,
             // A reset alone does not mean death, or established calls would be cut off: any connection may be
             // reset on its path. A process that has died refuses the next connection, which is opened at once
@@ -893,6 +921,9 @@
             match (&message.start, Sid::parse(&message.call_id).and_then(|sid| link.set_ups.get(&sid))) {
                 (StartLine::Request(_), _) => now,
                 (StartLine::Response(_), Some(set_up)) => set_up.queued_at,
+                (StartLine::Response(_), None) if message.cseq.1 == "OPTIONS" => {
+                    link.tested_at.take().unwrap_or(link.last_seen)
+                }
                 (StartLine::Response(_), None) => link.last_seen,
             };
         link.last_seen = link.last_seen.max(alive_at);
--- a/src/upstream/sip/tests.rs
+++ b/src/upstream/sip/tests.rs
@@ -590,3 +590,61 @@
     bench.open(next);
     assert_eq!(written_releases(&bench, next), 0);
 }
+
+/// A call server with as many connections as it accepts refuses further ones. Its calls go on, although every open
+/// connection has an outstanding set-up (review case 7).
+#[test]
+fn refused_connection_releases_no_calls_while_another_is_open() {
+    let (mut bench, link) = TestBench::new();
+    bench.open(link);
+    bench.establish(link, 1);
+    bench.invite(2);
+    let second = bench.invite(3).connects[0].0;
+    let output = bench.close(second, LinkEnd::Refused);
+    assert!(!reports_death(&output));
+    assert!(bench.invite(4).connects.is_empty(), "none is opened for the next set-up");
+    bench.now = at(1_100);
+    bench.receive(link, NOTIFY);
+    let third = bench.invite(5).connects[0].0;
+    assert!(!reports_death(&bench.close(third, LinkEnd::Refused)));
+    // A process that dies resets its connections and refuses the next.
+    bench.trunks.queue_of(link).expect("a queue").mark_all_written();
+    assert!(!reports_death(&bench.close(link, LinkEnd::Closed(CloseReason::Reset))));
+    let mut output = AdapterOutput::default();
+    bench.trunks.reconnect(1, &mut output);
+    assert!(reports_death(&bench.close(output.connects[0].0, LinkEnd::Refused)));
+}
+
+/// A quiet call server that accepts no further connection must not lose its calls: it answers tests on the present ones.
+/// One that answers nothing loses them in time (`maximum-quiet` of the review).
+#[test]
+fn silent_server_that_refuses_connections_keeps_its_calls_while_it_answers_tests() {
+    for sound in [true, false] {
+        let (mut bench, link) = TestBench::new();
+        bench.open(link);
+        bench.establish(link, 1);
+        let (mut tests, mut died_at) = (0, None);
+        for second in 1..=30 {
+            bench.now = at(second * 1_000);
+            let output = bench.check_silence();
+            if reports_death(&output) {
+                died_at = Some(second);
+                break;
+            }
+            for (refused, _) in output.connects {
+                assert!(!reports_death(&bench.close(refused, LinkEnd::Refused)));
+            }
+            let sent = bench.trunks.queue_of(link).expect("a queue").take_unsent();
+            let sent = sent.iter().filter(|message| message.bytes.starts_with(b"OPTIONS sip:ping@net"));
+            for _ in sent {
+                tests += 1;
+                if sound {
+                    let answer = "SIP/2.0 200 OK\r\nCall-ID: 0000000000000000\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n";
+                    bench.receive(link, answer);
+                }
+            }
+        }
+        assert_eq!(died_at, (!sound).then_some(7), "{tests} tests");
+        assert!(if sound { tests >= 9 } else { tests == 1 }, "{tests} tests");
+    }
+}
