Log each step of a call, with the reason for each refusal and each end of a connection

Change: lines of target lockpoint::calls at level debug for each input and effect that concerns a call, each connection to a call server and each caller's connection, with typed reasons (RefusalReason, LinkEnd, CloseReason); off by default.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -1,7 +1,7 @@
 //! Stage 2: set-ups for which the controller has no capacity or no list of call servers are refused before they reach
 //! the decision module.
 
-use crate::core::{Client, Core, Effect, Sid};
+use crate::core::{Client, Core, Effect, RefusalReason, Sid};
 use crate::interface::Span;
 use crate::metrics::Ending;
 
@@ -36,7 +36,8 @@
         self.record_outcome(class, Ending::Failed);
         self.counts.unusable += 1;
         self.remember_ended(sid);
-        out.push(Effect::Refuse { client, sid, retryable: false, retry_after: Span::default() });
+        let (retry_after, reason) = (Span::default(), RefusalReason::Invalid);
+        out.push(Effect::Refuse { client, sid, retryable: false, retry_after, reason });
         out.push(Effect::ProtocolViolation(client));
     }
 
@@ -51,6 +52,8 @@
         self.record_outcome(Some(class), Ending::Rejected);
         let wait = NO_ROOM_RETRY_AFTER.min(self.config.settings.max_retry_after);
         self.remember_ended(sid);
-        out.push(Effect::Refuse { client, sid, retryable: true, retry_after: wait });
+        let stopping = self.refuses_from.is_some_and(|at| self.now >= at);
+        let reason = if stopping { RefusalReason::Stopping } else { RefusalReason::NoCapacity };
+        out.push(Effect::Refuse { client, sid, retryable: true, retry_after: wait, reason });
     }
 }
--- a/src/core/call_registry.rs
+++ b/src/core/call_registry.rs
@@ -6,7 +6,7 @@
 
 use crate::core::relay::{CAUSE_CLEARED, CAUSE_CUT};
 use crate::core::send::attempt_end_event;
-use crate::core::{Caller, Client, Core, Deadline, Effect, FrontKind, LoadValues, Sid};
+use crate::core::{Caller, Client, Core, Deadline, Effect, FrontKind, LoadValues, RefusalReason, Sid};
 use crate::interface::{Attempt, AttemptEnd, CallId, Cause, Event, Outcome, ServerId, Span, Time};
 use crate::recovery::records::RecordChange;
 
@@ -289,7 +289,7 @@
             let load = self.load_of(report);
             self.attempt_ended(sid, Outcome::Reset, Cause::None, load);
         }
-        self.fail_and_report_hang_up(id, out);
+        self.fail_and_report_hang_up(id, RefusalReason::ReleasedBeforeAnswer, out);
     }
 
     /// A call server's process has died: all its calls are cut.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -342,7 +342,9 @@
             match deadline {
                 Deadline::Module(token) => self.feed(Event::Timer(token), out),
                 Deadline::Attempt(call) => self.attempt_timed_out(call, out),
-                Deadline::CallerTimeout(call) => self.fail_and_report_hang_up(call, out),
+                Deadline::CallerTimeout(call) => {
+                    self.fail_and_report_hang_up(call, RefusalReason::CallerTimeout, out)
+                }
                 Deadline::ForgetCall(sid) => self.registry.forget_ended(sid),
                 Deadline::ForgetServer(server) => self.forget_server(server, out),
                 Deadline::FleetPoll => self.poll_fleet(out),
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use crate::core::{AttemptError, Client, Core, Effect, FrontKind, Refusal, ServerEvent, Sid};
+use crate::core::{AttemptError, Client, Core, Effect, FrontKind, Refusal, RefusalReason, ServerEvent, Sid};
 use crate::interface::{Attempt, CallId, Cause, Event, LoadReport, Outcome, ServerId, Span};
 use crate::metrics::Ending;
 use crate::recovery::records::{CallRecord, RecordChange};
@@ -93,29 +93,41 @@
 
     /// Final answer: refused.
     pub(super) fn refuse(&mut self, call: CallId, wait: Span, out: &mut Vec<Effect>) {
-        self.reject_call(call, true, wait, out);
+        self.reject_call(call, true, wait, RefusalReason::Decided, out);
     }
 
     /// Final answer: failed.
     pub(super) fn fail(&mut self, call: CallId, out: &mut Vec<Effect>) {
-        self.reject_call(call, false, Span::default(), out);
+        self.reject_call(call, false, Span::default(), RefusalReason::Decided, out);
     }
 
     /// Gives a call its negative final answer.
-    fn reject_call(&mut self, call: CallId, retryable: bool, retry_after: Span, out: &mut Vec<Effect>) {
+    fn reject_call(
+        &mut self,
+        call: CallId,
+        retryable: bool,
+        retry_after: Span,
+        reason: RefusalReason,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(&sid) = self.sids.get(&call) else { return };
         // No attempt may stay outstanding for a call that is over.
         self.cancel_attempt(sid, Outcome::Cancelled, out);
         let Some(call) = self.remove_pending(sid) else { return };
         self.record_outcome(Some(call.class), if retryable { Ending::Rejected } else { Ending::Failed });
         self.remember_ended(sid);
-        out.push(Effect::Refuse { client: call.client, sid, retryable, retry_after });
+        out.push(Effect::Refuse { client: call.client, sid, retryable, retry_after, reason });
     }
 
     /// Fails a call and reports a hang-up to the decision module, which has not ended it: when the caller's wait is over,
     /// this guarantees the one final answer.
-    pub(super) fn fail_and_report_hang_up(&mut self, call: CallId, out: &mut Vec<Effect>) {
-        self.reject_call(call, false, Span::default(), out);
+    pub(super) fn fail_and_report_hang_up(
+        &mut self,
+        call: CallId,
+        reason: RefusalReason,
+        out: &mut Vec<Effect>,
+    ) {
+        self.reject_call(call, false, Span::default(), reason, out);
         self.feed(Event::HungUp(call), out);
     }
 
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::core::{Client, Core, Deadline, Effect, FrontKind, PendingCall, SetUp, Sid};
+use crate::core::{Client, Core, Deadline, Effect, FrontKind, PendingCall, RefusalReason, SetUp, Sid};
 use crate::interface::{CallId, Event, NewCall, Number, Span, Time};
 use crate::metrics::Ending;
 
@@ -31,6 +31,7 @@
                 sid: set_up.sid,
                 retryable: false,
                 retry_after: Span::default(),
+                reason: RefusalReason::DuplicateIdentifier,
             });
         }
         self.counts.taken += 1;
@@ -85,10 +86,12 @@
         }
         if first != client {
             // Guards against a leg that waits for an answer which the other call with its identifier gets.
-            return out.push(Effect::Refuse { client, sid, retryable: false, retry_after: Span::default() });
+            let reason = RefusalReason::DuplicateIdentifier;
+            let retry_after = Span::default();
+            return out.push(Effect::Refuse { client, sid, retryable: false, retry_after, reason });
         }
         // One client uses an identifier for two calls: it could not tell their answers apart.
-        self.fail_and_report_hang_up(id, out);
+        self.fail_and_report_hang_up(id, RefusalReason::DuplicateIdentifier, out);
         out.push(Effect::AnswerNoLongerOwed(client));
         out.push(Effect::ProtocolViolation(client));
     }
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -233,6 +233,32 @@
     Tick,
 }
 
+/// Why a call gets a negative final answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum RefusalReason {
+    /// The decision module refuses or fails it.
+    #[error("decided by the policy")]
+    Decided,
+    /// Its caller's wait is over.
+    #[error("the caller's wait is over")]
+    CallerTimeout,
+    /// Its call server released it before its answer arrived.
+    #[error("released before its answer arrived")]
+    ReleasedBeforeAnswer,
+    /// Its identifier is in use or was used before.
+    #[error("identifier already used")]
+    DuplicateIdentifier,
+    /// It has an unknown class, or a value out of range.
+    #[error("invalid set-up")]
+    Invalid,
+    /// The controller is stopping.
+    #[error("the controller is stopping")]
+    Stopping,
+    /// There is no capacity, or no list of call servers yet.
+    #[error("no capacity, or no list of call servers")]
+    NoCapacity,
+}
+
 /// Effects that the protocol adapters carry out, in order.
 #[derive(Debug, Clone)]
 pub enum Effect {
@@ -248,6 +274,8 @@
         retryable: bool,
         /// How long the caller is asked to wait before it tries again; zero: not specified.
         retry_after: Span,
+        /// Why the call is refused; for the log.
+        reason: RefusalReason,
     },
     /// Tell the caller that its call has ended, with this cause.
     Release(Client, Sid, u16),
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -1,5 +1,6 @@
 //! A running controller: its core, its protocol adapters and its sockets, on one current-thread runtime.
 
+mod call_log;
 mod callers;
 mod counters;
 mod directories;
@@ -418,6 +419,7 @@
                 break;
             }
             for input in inputs {
+                call_log::log_input(now, &input);
                 self.core.handle(now, input, &mut effects);
                 let effects = std::mem::take(&mut effects);
                 self.apply_effects(effects, now, todo);
@@ -433,6 +435,7 @@
 
     fn apply_effects(&mut self, effects: Vec<Effect>, now: Time, todo: &mut AdapterOutput) {
         for effect in effects {
+            call_log::log_effect(now, &effect);
             match effect {
                 Effect::Answer(client, sid, body) => match client.front {
                     FrontKind::JsonLines => {
@@ -441,7 +444,7 @@
                     }
                     FrontKind::Iax2 => self.iax2_front.ready(client.no, &body, now, todo),
                 },
-                Effect::Refuse { client, sid, retryable, retry_after } => match client.front {
+                Effect::Refuse { client, sid, retryable, retry_after, reason: _ } => match client.front {
                     FrontKind::JsonLines => {
                         let cause = if retryable { jsonl::CAUSE_REFUSED } else { jsonl::CAUSE_FAILED };
                         self.client_connections.write(client.no, jsonl::close(sid, cause, retry_after));
--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -10,6 +10,7 @@
 use crate::core::{Client, DeadlineOwner, FrontKind, Input};
 use crate::drain::ConnectionReview;
 use crate::front::jsonl::{self, Line as Message, LineError};
+use crate::instance::call_log;
 use crate::instance::handover::{Listeners, Side};
 use crate::instance::{Instance, State};
 use crate::interface::{Span, Time};
@@ -200,6 +201,7 @@
         let Some(queue) = self.0.state.borrow().client_connections.queue_of(no) else { return };
         let mut reader = ClientReader { instance: self.clone(), no };
         let end = serve(&line, &queue, &self.0.client_buffers, &mut reader).await;
+        call_log::log_client_end(self.0.clock.now(), no, end);
         if !matches!(end, CloseReason::Closed | CloseReason::ClosedHere) {
             self.0.state.borrow_mut().counters.lost_connections += 1;
         }
--- a/src/instance/links.rs
+++ b/src/instance/links.rs
@@ -8,6 +8,7 @@
 
 use tokio::net::TcpStream;
 
+use crate::instance::call_log;
 use crate::instance::handover::Side;
 use crate::instance::Instance;
 use crate::net::conn::{serve, CloseReason, Connection, MalformedInput, MessageReader};
@@ -53,6 +54,7 @@
                 self.apply(|state, todo| {
                     state.connections.insert((Side::Server, no), line.clone());
                     state.sip.link_up(no, now, todo);
+                    call_log::log_link_up(now, no, state.sip.address_of(no));
                 });
                 self.serve_link(no, &line, &queue).await
             }
@@ -98,6 +100,7 @@
         if self.instance.0.state.try_borrow_mut().is_ok() {
             let now = self.instance.0.clock.now();
             self.instance.apply_guarded(|state, todo| {
+                call_log::log_link_end(now, self.no, state.sip.address_of(self.no), self.end.get());
                 state.connections.remove(&(Side::Server, self.no));
                 state.sip.link_ended(self.no, self.end.get(), now, todo);
             });
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -56,13 +56,16 @@
 const NO_NUMBER: &str = "0000000000000000";
 
 /// How a connection ended, or why it could not be opened.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum LinkEnd {
     /// The connection was refused: no process listens.
+    #[error("connection refused")]
     Refused,
     /// It could not be opened, or not in time.
+    #[error("no connection established")]
     ConnectFailed,
     /// It was open and has closed.
+    #[error("{0}")]
     Closed(CloseReason),
 }
 
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -9,6 +9,7 @@
 
 use lockpoint::control::{send_request, Command, Reply, Request};
 use lockpoint_lab::bulletin::Bulletin;
+use lockpoint_lab::callers::Caller;
 use lockpoint_lab::event_log::{on_one_thread, EventLog};
 use serde_json::Value;
 
@@ -38,10 +39,14 @@
 
 impl Agent {
     fn start(name: &str, bulletin: &str) -> Agent {
+        Agent::start_at_level("info", name, bulletin)
+    }
+    fn start_at_level(level: &str, name: &str, bulletin: &str) -> Agent {
         let dir = std::env::temp_dir().join(format!("lockpoint-logs-{name}-{}", process::id()));
         std::fs::create_dir_all(&dir).expect("the directory is created");
         let control = dir.join("control.sock");
         let text = FILE.replace("CONTROL", &control.to_string_lossy()).replace("BULLETIN", bulletin);
+        let text = text.replace("\"info\"", &format!("\"{level}\""));
         std::fs::write(dir.join("agent.toml"), text).expect("the file is written");
         let mut command = process::Command::new(env!("CARGO_BIN_EXE_lockpoint"));
         command.arg("agent").arg("--config").arg(dir.join("agent.toml")).env_remove("LOCKPOINT_LOG");
@@ -128,3 +133,43 @@
         assert!(matches!(agent.send(Command::Ping).await, Reply::ConsoleAnswers { .. }));
     });
 }
+
+/// Guards against a report of operators that cannot be traced: a call's lines must name it, and say why it was refused and
+/// why its connection ended.
+#[test]
+fn a_call_can_be_traced_with_the_reasons_for_its_refusal_and_for_the_end_of_its_connection() {
+    on_one_thread(async {
+        const SID: &str = "9b1f03aa00000001";
+        let mut agent = Agent::start_at_level("lockpoint::calls=debug", "trace", "127.0.0.1:9");
+        let Reply::Status { instances } = agent.send(Command::Status).await else { panic!("no status") };
+        let at = instances[0].listen.as_ref().and_then(|at| at.parse().ok()).expect("an address");
+        let events = EventLog::default();
+        let caller = Caller::connect(&events, "c", at).await;
+        caller.open(SID, 2_000, 0, "x").await;
+        events.final_answer(SID).await;
+        caller.drop_connection();
+        let stderr = agent.child.stderr.take().expect("standard error is piped");
+        let reader = tokio::task::spawn_blocking(move || {
+            let mut seen = Vec::new();
+            for line in BufReader::new(stderr).lines() {
+                let line: Value =
+                    serde_json::from_str(&line.expect("a line is readable")).expect("valid JSON");
+                if line["sid"] == SID || line["message"] == "caller's connection ended" {
+                    seen.push((line["message"].clone(), line["reason"].clone()));
+                }
+                if seen.len() == 3 {
+                    break;
+                }
+            }
+            seen
+        });
+        let seen = tokio::time::timeout(Duration::from_secs(20), reader).await;
+        let seen = seen.expect("three lines").expect("the log is read");
+        let expected = [
+            ("set-up received", Value::Null),
+            ("refused to the caller", "no capacity, or no list of call servers".into()),
+            ("caller's connection ended", "closed by the peer".into()),
+        ];
+        assert_eq!(seen, expected.map(|(message, reason)| (Value::from(message), reason)));
+    });
+}
