Failing tests: calls that end while connections, lists and attempts get in the way

The tests' free addresses were picked by binding and releasing a port, so that two threads of one test process could get the same one ('the controller does not serve', seen once): they now remember those that were given.

--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -1,19 +1,29 @@
 //! The real program, started as the platform starts it, with its console called by the test.
 #![allow(dead_code)] // each test file uses only some of the items
 
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use serde_json::Value;
 
-/// A loopback address on which nobody listens, and which no other test process on this machine gets.
+/// A loopback address on which nobody listens, and which no other test gets: neither one of another test process on this
+/// machine, nor one in another thread of this process, to which the system might give the same port again.
 pub fn free_address() -> SocketAddr {
+    static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
     let process = std::process::id().to_be_bytes();
     let own = Ipv4Addr::new(127, 1 + process[1] % 254, process[2], process[3].max(1));
-    TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port")
+    let mut given = GIVEN.lock().expect("no test panics while it holds the lock");
+    loop {
+        let at = TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port");
+        if given.insert(at) {
+            return at;
+        }
+    }
 }
 
 /// A controller process, killed when dropped.
--- /dev/null
+++ b/tests/untold_ends.rs
@@ -0,0 +1,218 @@
+//! Calls that end at their call server while connections, lists and earlier attempts get in the way: their callers must be
+//! told in time (incident-518301). The controller runs as a program, as the platform starts it.
+
+#[path = "support/platform.rs"]
+mod platform;
+mod support;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use lockpoint::core::CAUSE_CUT;
+use lockpoint::upstream::sip::message::{parse, StartLine};
+use platform::Platform;
+use rstest::rstest;
+use serde_json::json;
+use support::{
+    name, on_one_thread, settings, Bulletin, Caller, EventKind, EventLog, RecordedEvent, ScriptedServer,
+    ServerConnection,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+/// A caller must be told of the end of its call within this time of the release by either side.
+const RELEASE_LIMIT: Duration = Duration::from_millis(1_050);
+
+/// A controller process with a bulletin that lists one call server, and a caller.
+struct Scene {
+    events: EventLog,
+    bulletin: Rc<Bulletin>,
+    _controller: Platform,
+    caller: Caller,
+}
+
+impl Scene {
+    async fn new(test: &str, entry: serde_json::Value) -> Scene {
+        let events = EventLog::default();
+        let bulletin = Bulletin::start(&events).await;
+        bulletin.publish(true, vec![entry]);
+        let config = json!({"bulletin": bulletin.at.to_string(), "settings": settings(1),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}});
+        let controller = Platform::start(test, &config, None);
+        let deadline = Instant::now() + Duration::from_secs(20);
+        while !controller.call("PING").is_some_and(|answer| answer.starts_with("SUCCESS")) {
+            assert!(Instant::now() < deadline, "the controller does not serve");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let caller = Caller::connect(&events, "c", controller.at).await;
+        Scene { events, bulletin, _controller: controller, caller }
+    }
+
+    async fn expect_answer(&self, sid: &str) {
+        let answer = self.events.final_answer(sid).await;
+        assert!(matches!(answer.kind, EventKind::Ready(_)), "{answer:?}");
+    }
+
+    /// Waits for the release of a call and returns when it arrived.
+    async fn release_of(&self, sid: &str) -> Instant {
+        let released = |seen: &RecordedEvent| seen.sid == sid && matches!(seen.kind, EventKind::Close(..));
+        self.events.wait_for("the release of a call", released).await.at
+    }
+}
+
+/// What a call server has received: when, the method and the call.
+type Received = Rc<RefCell<Vec<(Instant, String, String)>>>;
+
+/// A call server that gives the first set-up of the call `spoilt` a description that is not text, answers all others, and
+/// confirms no release of that call.
+async fn spoiling_server(spoilt: String) -> (std::net::SocketAddr, Received) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let at = listener.local_addr().expect("an address");
+    let received = Received::default();
+    let record = received.clone();
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(serve_spoiling(stream, spoilt.clone(), record.clone()));
+        }
+    });
+    (at, received)
+}
+
+async fn serve_spoiling(mut stream: TcpStream, spoilt: String, received: Received) {
+    let mut bytes = Vec::new();
+    while stream.read_buf(&mut bytes).await.is_ok_and(|count| count > 0) {
+        while let Ok(Some((message, used))) = parse(&bytes) {
+            bytes.drain(..used);
+            let StartLine::Request(method) = &message.start else { continue };
+            let sid = message.call_id.clone();
+            let earlier = received.borrow().iter().filter(|(_, m, s)| m == "INVITE" && *s == sid).count();
+            received.borrow_mut().push((Instant::now(), method.clone(), sid.clone()));
+            let description: &[u8] = if sid == spoilt && earlier == 0 { b"\xff\xfe\r\n" } else { b"y\r\n" };
+            let body = if method == "INVITE" { description } else { b"" };
+            if method == "ACK" || (method == "BYE" && sid == spoilt) {
+                continue;
+            }
+            let (no, of) = &message.cseq;
+            let head = format!(
+                "SIP/2.0 200 OK\r\nCall-ID: {sid}\r\nCSeq: {no} {of}\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            let response = [head.as_bytes(), body].concat();
+            if stream.write_all(&response).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Guards against a release for an earlier attempt that is retransmitted after the same call was set up again at that call
+/// server: it ends the call, and its caller is never told.
+#[test]
+fn release_of_an_earlier_attempt_does_not_end_the_call_that_was_set_up_again() {
+    on_one_thread(async {
+        let (at, received) = spoiling_server(name(1)).await;
+        let scene = Scene::new("retransmitted", support::list_entry("s0", at, 0, "ready")).await;
+        // The call server confirms releases: those that it does not confirm are retransmitted.
+        scene.caller.open(&name(9), 9_000, 0, "x").await;
+        scene.expect_answer(&name(9)).await;
+        scene.caller.close(&name(9), 16).await;
+        scene.caller.open(&name(1), 9_000, 0, "x").await;
+        scene.expect_answer(&name(1)).await;
+        let answered_at = Instant::now();
+        tokio::time::sleep(Duration::from_millis(4_500)).await;
+        let of_call = |(at, method, sid): &(Instant, String, String)| {
+            (*sid == name(1)).then(|| (method.clone(), at.saturating_duration_since(answered_at)))
+        };
+        let seen: Vec<(String, Duration)> = received.borrow().iter().filter_map(of_call).collect();
+        let count = |method: &str| seen.iter().filter(|(m, _)| m == method).count();
+        assert_eq!(count("INVITE"), 2, "{seen:?}");
+        let last_invite = seen.iter().rposition(|(method, _)| method == "INVITE").expect("a set-up");
+        assert!(seen[last_invite..].iter().all(|(method, _)| method != "BYE"), "{seen:?}");
+    });
+}
+
+/// Establishes a call on a connection.
+async fn establish(scene: &Scene, connection: &mut ServerConnection, call: u64) {
+    scene.caller.open(&name(call), 9_000, 0, "x").await;
+    assert_eq!(connection.expect_request("INVITE").await, name(call));
+    connection.answers(&name(call), "y\r\n").await;
+    scene.expect_answer(&name(call)).await;
+}
+
+/// Guards against calls whose call server ends, and is listed as gone before the controller has connected again: nothing
+/// connects any more, and the end is noticed seconds later.
+#[rstest]
+fn calls_of_a_server_that_ends_just_before_it_is_listed_as_gone_are_released(
+    #[values(0, 20, 60)] listed_after_ms: u64,
+) {
+    on_one_thread(async {
+        let server = ScriptedServer::start("s0").await;
+        let scene = Scene::new(&format!("gone-{listed_after_ms}"), server.host(0, "ready")).await;
+        let mut connection = server.accept_ready().await;
+        establish(&scene, &mut connection, 1).await;
+        let gone = server.host(0, "gone");
+        scene.bulletin.publish(false, vec![server.host(0, "draining")]);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let ended_at = Instant::now();
+        drop(server);
+        connection.reset();
+        tokio::time::sleep(Duration::from_millis(listed_after_ms)).await;
+        scene.bulletin.publish(false, vec![gone]);
+        let told_after = scene.release_of(&name(1)).await.saturating_duration_since(ended_at);
+        assert!(told_after < RELEASE_LIMIT, "{told_after:?}");
+    });
+}
+
+/// How one of a call server's connections ends.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    Reset,
+    /// The call server sends something unreadable, and the controller closes the connection.
+    Unreadable,
+}
+
+/// Guards against a release that is lost with its connection while another one is open: its call server sends it again on
+/// the next connection that opens, so one must be opened.
+#[rstest]
+fn release_that_is_lost_with_its_connection_is_received_on_a_new_one(
+    #[values("ready", "draining", "gone")] state: &str,
+    #[values(End::Reset, End::Unreadable)] end: End,
+) {
+    on_one_thread(async {
+        let server = ScriptedServer::start("s0").await;
+        let scene = Scene::new(&format!("lost-{state}-{end:?}"), server.host(0, "ready")).await;
+        let mut first = server.accept_ready().await;
+        establish(&scene, &mut first, 1).await;
+        // A set-up is outstanding on the only connection: a second one is opened for later set-ups.
+        for call in [2, 3] {
+            scene.caller.open(&name(call), 9_000, 0, "x").await;
+            first.expect_request("INVITE").await;
+        }
+        let mut second = server.accept_ready().await;
+        for call in [2, 3] {
+            first.answers(&name(call), "y\r\n").await;
+            scene.expect_answer(&name(call)).await;
+        }
+        if state != "ready" {
+            scene.bulletin.publish(false, vec![server.host(0, state)]);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        // The release of call 1 was sent on the first connection, which ends before it has been read.
+        let ended_at = Instant::now();
+        match end {
+            End::Reset => first.reset(),
+            End::Unreadable => first.send("SIP/2.0 nonsense\r\n\r\n").await,
+        }
+        let mut third = server.accept_ready().await;
+        third.releases(&name(1), 16).await;
+        let told_after = scene.release_of(&name(1)).await.saturating_duration_since(ended_at);
+        assert!(told_after < RELEASE_LIMIT, "{told_after:?}");
+        let others = |seen: &RecordedEvent| {
+            [name(2), name(3)].contains(&seen.sid) && seen.kind == EventKind::Close(CAUSE_CUT, None)
+        };
+        assert_eq!(scene.events.count(others), 0, "the other calls go on");
+        second.send("\r\n").await;
+    });
+}
