Send no release or cancellation of an earlier attempt after its call is set up again

Callers saw: an answered call that was over at its call server, and no release. Cause: since a release is retransmitted until it is confirmed; one for an unreadable or late answer went on after the same call had been set up again at that call server, and ended it. The controller took that call for established for good. On a related path an unsent cancellation moved from an ended connection to another, where a later attempt of its call may be outstanding. Change: a set-up withdraws the pending release of its call and goes on the connection that carried it, or nowhere if that one is silent; only set-ups and owned releases leave an ended connection. Why it works: one connection keeps the order, and nothing is sent later.

--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -23,7 +23,7 @@
 use crate::net::queue::{Budget, WriteQueue};
 use crate::upstream::AdapterOutput;
 use message::{connection_test, parse_report, refusal_from_response, request, response, Message, StartLine};
-use releases::{PendingReleases, ReleaseToSend};
+use releases::{LastSent, PendingReleases, ReleaseToSend};
 
 /// Largest number of connections to one call server. Set-ups are spread over them, so that malformed input or
 /// a close on one does not affect the others.
@@ -50,8 +50,6 @@
 /// How many cancelled set-ups are remembered on a connection; the oldest are dropped. More than one connection
 /// carries within the time that a call is tried for.
 const MAX_REMEMBERED: usize = 256;
-/// Largest number of messages kept for the next connection.
-const MAX_WAITING_MESSAGES: usize = 4_096;
 /// Placeholder for an unknown number in a request URI; call servers use only the `Call-ID` of such a request.
 const NO_NUMBER: &str = "0000000000000000";
 
@@ -127,6 +125,10 @@
 }
 
 impl Link {
+    /// Whether it has been silent for too long after a set-up.
+    fn is_suspect(&self, now: Time) -> bool {
+        self.unanswered_since.is_some_and(|at| now.since(at) > SUSPECT_AFTER)
+    }
     fn mark_cancelled(&mut self, sid: Sid) {
         if self.cancelled.len() >= MAX_REMEMBERED {
             self.cancelled.pop_front();
@@ -145,7 +147,7 @@
     #[serde(rename = "dial")]
     address: SocketAddr,
     links: BTreeMap<u64, Link>,
-    /// Messages for the next connection.
+    /// Messages for the next connection, in the state that older builds hand over; empty in a running process.
     #[serde(rename = "waiting")]
     waiting_messages: VecDeque<Bytes>,
     /// Numbers called, of the established calls at the call server.
@@ -611,21 +613,42 @@
         let lost = |progress, why| {
             Input::Server(server, sid, ServerEvent::Lost(AttemptError { error: why, progress }))
         };
-        let Some(no) = self.pick(server, sid, now, output) else {
+        let Some(no) = self.link_for_set_up(server, sid, now, output) else {
             return output.inputs.push(lost(Progress::NotConnected, TransportError::ConnectFailed));
         };
         let extra = format!("P-Kind: {class}\r\nP-Time-Left: {}\r\n", left.0 / 1000);
         let bytes = request("INVITE", number, sid, (1, "INVITE"), &extra, body);
-        let link = self.trunks.get_mut(&server).and_then(|t| t.links.get_mut(&no));
-        let Some(link) = link else { return };
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        let Some(link) = trunk.links.get_mut(&no) else { return };
         if !link.queue.push(bytes, Some(sid)) {
             return output.inputs.push(lost(Progress::Queued, TransportError::Cancelled));
         }
+        trunk.releases.withdraw(sid);
         self.counts.invites += 1;
         link.set_ups.insert(sid, OutstandingSetUp { number: number.clone(), moves: 0, queued_at: now });
         link.unanswered_since.get_or_insert(now);
     }
 
+    /// The connection for a set-up. Where an earlier attempt of the same call was released here and the release is not
+    /// confirmed, it is the one that carries the release, so that the release cannot arrive after the set-up and end
+    /// it; `None` if that connection does not respond.
+    fn link_for_set_up(
+        &mut self,
+        server: ServerId,
+        sid: Sid,
+        now: Time,
+        output: &mut AdapterOutput,
+    ) -> Option<u64> {
+        let trunk = self.trunks.get(&server).filter(|trunk| trunk.wanted)?;
+        let Some(LastSent::OnLink(no)) = trunk.releases.last_sent(sid) else {
+            return self.pick(server, sid, now, output);
+        };
+        match trunk.links.get(&no) {
+            Some(link) => (!link.is_suspect(now)).then_some(no),
+            None => self.pick(server, sid, now, output),
+        }
+    }
+
     /// Picks the connection for the next set-up: an open one that carries set-ups, with the fewest of them.
     /// Where each has some, another is opened for later ones. A call that was cancelled on one connection
     /// goes to another if possible: the final response to its first set-up must not be taken for one to the
@@ -638,7 +661,7 @@
         // Guards against a connection for each set-up at a call server that accepts no more of them.
         let refused = trunk.refused_at.is_some_and(|at| now.since(at) < RECONNECT_DELAY.1);
         let may_open = has_room && (trunk.links.is_empty() || !refused);
-        let suspect = |l: &Link| l.unanswered_since.is_some_and(|at| now.since(at) > SUSPECT_AFTER);
+        let suspect = |l: &Link| l.is_suspect(now);
         let least_loaded = |which: &dyn Fn(&Link) -> bool| {
             let eligible = trunk.links.iter().filter(|(_, l)| which(l));
             eligible.min_by_key(|(_, l)| l.set_ups.len()).map(|(no, l)| (*no, l.set_ups.len()))
@@ -790,12 +813,10 @@
         }
         let held_answer = link.held_answer.take();
         let unsent = link.queue.take_unsent();
-        let mut waiting = Vec::new();
         for message in unsent {
-            let Some(sid) = message.set_up else {
-                waiting.push(message.bytes);
-                continue;
-            };
+            // Everything but set-ups ends with its connection: a cancellation is implied by the end of the connection, and on
+            // another one it could cancel a later attempt. Releases are sent again by their owner.
+            let Some(sid) = message.set_up else { continue };
             let Some(set_up) = link.set_ups.remove(&sid) else { continue };
             let was_open = matches!(how, LinkEnd::Closed(end) if end != CloseReason::ClosedHere);
             if !(was_open
@@ -819,22 +840,13 @@
         // A release sent on a connection that the call server was just closing must be sent again, and one
         // not written yet must not wait for the next connection while another is open.
         let releases = trunk.releases.take_from_link(no, |since| link.last_input > since);
-        waiting.retain(|bytes| releases.iter().all(|release| release.request != *bytes));
         if let Some(other) = trunk.link_for_releases(None) {
             for release in &releases {
                 trunk.resend_release(release, other, now);
             }
-            let Some(other) = trunk.links.get(&other) else { return };
-            for bytes in waiting {
-                let _ = other.queue.push(bytes, None); // a full queue belongs to a connection that is failing itself
-            }
-            return;
-        }
-        if !trunk.wanted {
+        } else if !trunk.wanted {
             trunk.releases.discard_waiting();
         }
-        let room = MAX_WAITING_MESSAGES.saturating_sub(trunk.waiting_messages.len());
-        trunk.waiting_messages.extend(waiting.into_iter().take(room));
     }
 
     fn move_set_up(
--- a/src/upstream/sip/releases.rs
+++ b/src/upstream/sip/releases.rs
@@ -44,6 +44,15 @@
     pub(super) previous_link: Option<u64>,
 }
 
+/// Where an unconfirmed release was last sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LastSent {
+    /// On this connection.
+    OnLink(u64),
+    /// On none that is still open.
+    Nowhere,
+}
+
 /// All releases that one call server has not confirmed.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(super) struct PendingReleases {
@@ -68,6 +77,17 @@
         true
     }
 
+    /// The call of a release is set up again: the release must not be sent any more, or it would end the new attempt.
+    pub(super) fn withdraw(&mut self, sid: Sid) {
+        self.pending.remove(&sid);
+    }
+
+    /// Where the release of a call was last sent, if it is not confirmed.
+    pub(super) fn last_sent(&self, sid: Sid) -> Option<LastSent> {
+        let release = self.pending.get(&sid)?;
+        Some(release.link.map_or(LastSent::Nowhere, LastSent::OnLink))
+    }
+
     /// The call server has confirmed a release.
     pub(super) fn confirm(&mut self, sid: Sid) {
         self.confirms |= self.pending.remove(&sid).is_some();
--- a/src/upstream/sip/tests.rs
+++ b/src/upstream/sip/tests.rs
@@ -516,6 +516,60 @@
     assert!(sent.len() == 1 && sent[0].starts_with(b"BYE"), "{sent:?}");
 }
 
+/// Guards against a cancellation that outlives its connection and cancels a later attempt of the same call on another.
+#[test]
+fn cancellation_of_an_ended_connection_is_not_sent_on_another() {
+    let (mut bench, first) = TestBench::new();
+    bench.open(first);
+    bench.invite(1);
+    let second = bench.invite(2).connects[0].0;
+    bench.open(second);
+    bench.trunks.queue_of(first).expect("a queue").mark_all_written();
+    bench.trunks.cancel(SERVER, sid(1));
+    bench.now = at(600);
+    bench.invite(1);
+    bench.close(first, LinkEnd::Closed(CloseReason::Reset));
+    let sent = bench.trunks.queue_of(second).expect("a queue").take_unsent();
+    let sent: Vec<&[u8]> = sent.iter().map(|message| &message.bytes[..6]).collect();
+    assert!(sent.contains(&&b"INVITE"[..]) && !sent.contains(&&b"CANCEL"[..]), "{sent:?}");
+}
+
+/// Guards against a release for an earlier attempt that overtakes, or follows, the set-up of the same call on another
+/// connection and ends it: the set-up follows the release on its connection, or is not sent where that is silent.
+#[test]
+fn call_whose_release_is_not_confirmed_is_set_up_again_behind_that_release_or_not_at_all() {
+    for silent in [false, true] {
+        let (mut bench, links) = all_links_open();
+        for n in 100..108 {
+            bench.trunks.cancel(SERVER, sid(n));
+        }
+        bench.trunks.bye(SERVER, sid(1), 16, bench.now, &mut AdapterOutput::default());
+        let of_call = |bench: &TestBench, link: u64| {
+            let queue = bench.trunks.queue_of(link).expect("a queue").take_unsent();
+            let name = sid(1).to_string();
+            let texts = queue.iter().map(|message| String::from_utf8_lossy(&message.bytes).into_owned());
+            texts.filter(|text| text.contains(&name)).map(|text| text[..3].to_owned()).collect::<Vec<_>>()
+        };
+        let with_release = links.iter().find(|link| of_call(&bench, **link) == ["BYE"]).expect("sent");
+        bench.now = at(if silent { 5_000 } else { 400 });
+        for link in links.iter().filter(|link| *link != with_release) {
+            bench.receive(*link, NOTIFY);
+        }
+        let output = bench.invite(1);
+        let carriers: Vec<u64> =
+            links.iter().filter(|link| !of_call(&bench, **link).is_empty()).copied().collect();
+        if silent {
+            assert!(matches!(lost(&output)[..], [(_, Progress::NotConnected)]) && carriers.is_empty());
+        } else {
+            assert_eq!(carriers, [*with_release]);
+            bench.now = at(30_000);
+            bench.check_silence();
+            assert!(links.iter().all(|link| bench.trunks.queue_of(*link).is_none()
+                || !of_call(&bench, *link).contains(&"BYE".to_owned())));
+        }
+    }
+}
+
 /// The releases queued on a connection, which are written by this.
 fn written_releases(bench: &TestBench, link: u64) -> usize {
     let queue = bench.trunks.queue_of(link).expect("a queue");
