Keep connecting to a call server while calls stand there

Callers saw: calls over at their call server, told after 2.9 to 6.4 s or not at all. Cause: a connection was opened only where none was left and the call server was not listed as gone. (1) A process that ended within the reconnect delay, 100 ms, before it was listed as gone was never asked again: 6.5 s of silence. (2) A release that was lost with one of several connections is sent again on the next one that opens, and none was opened. Change: while calls stand, a connection that ends other than idle and in order is replaced at once, with retries until one opens, in each listed state; a listing as gone without an open connection opens one, whose refusal or failure is the death. Why it works: the next connection opens within the limit whatever ended the last, and both its outcomes are decisive. The whole suite has not run on this commit yet.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -502,7 +502,7 @@
                     self.sip.cancel_queued(server, todo);
                     self.iax2_servers.cancel_unanswered(server, now, todo);
                 }
-                Effect::StopConnecting(server) => self.sip.stop_connecting(server),
+                Effect::StopConnecting(server) => self.sip.stop_connecting(server, todo),
                 Effect::ServerReplaced(server) => {
                     self.sip.replaced(server, todo);
                     self.iax2_servers.replaced(server, now, todo);
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -161,6 +161,10 @@
     #[serde(default)]
     releases: PendingReleases,
     wanted: bool,
+    /// Whether a connection was lost and the next one has not opened: releases of the call server may have been lost
+    /// with it, and it sends them again on the next one only.
+    #[serde(default)]
+    replacement_due: bool,
     /// When a connection was last refused.
     #[serde(default)]
     refused_at: Option<Time>,
@@ -178,6 +182,22 @@
 }
 
 impl Trunk {
+    /// Whether connections to it are opened: for set-ups, or for the releases of the calls that stand there.
+    fn keeps_connecting(&self) -> bool {
+        self.wanted || !self.established.is_empty()
+    }
+    fn has_open_link(&self) -> bool {
+        self.links.values().any(|link| link.connected_at.is_some())
+    }
+    fn has_opening_link(&self) -> bool {
+        self.links.values().any(|link| link.connected_at.is_none())
+    }
+    /// Whether a connection is to be opened now or after a delay: there is none, or one was lost.
+    fn needs_link(&self) -> bool {
+        self.keeps_connecting()
+            && !self.has_opening_link()
+            && (self.links.is_empty() || (self.replacement_due && !self.established.is_empty()))
+    }
     /// Adds a call that was answered on a connection opened at `connected_at`.
     fn add_established(&mut self, sid: Sid, number: Rc<str>, connected_at: Time) {
         self.established.insert(sid, number);
@@ -233,6 +253,12 @@
             self.silence_check_at = now.plus(PROBE_AFTER);
         }
     }
+    /// It gets no further set-ups; messages for a next connection are dropped.
+    fn stop_using(&mut self) {
+        self.wanted = false;
+        self.waiting_messages.clear();
+        self.releases.discard_waiting();
+    }
     /// Sends a test on each open connection without one. A sound call server answers it, also where it accepts no
     /// further connection.
     fn test_connections(&mut self, now: Time) {
@@ -355,6 +381,7 @@
             answered_on: BTreeMap::new(),
             releases: PendingReleases::default(),
             wanted: true,
+            replacement_due: false,
             refused_at: None,
             reconnect_delay: RECONNECT_DELAY.0,
             last_seen: Time::default(),
@@ -382,13 +409,13 @@
         }
     }
 
-    /// Opens no more connections to a call server. The present ones stay until they end, as releases may
-    /// still arrive on them.
-    pub fn stop_connecting(&mut self, server: ServerId) {
-        if let Some(trunk) = self.trunks.get_mut(&server) {
-            trunk.wanted = false;
-            trunk.waiting_messages.clear();
-            trunk.releases.discard_waiting();
+    /// Opens no more connections to a call server for set-ups. The present ones stay until they end, as releases may
+    /// still arrive on them. Where calls stand there and none is open, one more shows whether its process still runs.
+    pub fn stop_connecting(&mut self, server: ServerId, output: &mut AdapterOutput) {
+        let Some(trunk) = self.trunks.get_mut(&server) else { return };
+        trunk.stop_using();
+        if trunk.needs_link() && !trunk.has_open_link() {
+            self.open_link(server, output);
         }
     }
 
@@ -449,8 +476,7 @@
                 needs_link = true;
             }
         }
-        let opening = trunk.links.values().any(|link| link.connected_at.is_none());
-        if needs_link && trunk.wanted && !opening {
+        if needs_link && trunk.wanted && !trunk.has_opening_link() {
             self.open_link(server, output);
         }
     }
@@ -475,16 +501,13 @@
         let stale = trunk.links.iter().find(|(_, l)| stale(l)).map(|(no, l)| (*no, l.queue.clone()));
         if let Some((no, queue)) = stale {
             self.counts.stale += 1;
-            queue.abort();
-            self.end_link(server, no, LinkEnd::Closed(CloseReason::ClosedHere), now, output);
-            self.open_link(server, output);
+            self.replace_link(server, no, &queue, now, output);
             return;
         }
         if silent >= PROBE_AFTER {
             trunk.test_connections(now);
         }
-        let opening = trunk.links.values().any(|l| l.connected_at.is_none());
-        if silent >= PROBE_AFTER && trunk.wanted && !opening {
+        if silent >= PROBE_AFTER && !trunk.has_opening_link() {
             self.open_probe_link(server, now, output);
         }
     }
@@ -500,8 +523,24 @@
             let Some((no, queue)) = longest_silent.map(|(no, link)| (*no, link.queue.clone())) else {
                 return;
             };
-            queue.abort();
-            self.end_link(server, no, LinkEnd::Closed(CloseReason::ClosedHere), now, output);
+            return self.replace_link(server, no, &queue, now, output);
+        }
+        self.open_link(server, output);
+    }
+
+    /// Closes a connection and opens another.
+    fn replace_link(
+        &mut self,
+        server: ServerId,
+        no: u64,
+        queue: &WriteQueue,
+        now: Time,
+        output: &mut AdapterOutput,
+    ) {
+        queue.abort();
+        self.end_link(server, no, LinkEnd::Closed(CloseReason::ClosedHere), now, output);
+        if let Some(trunk) = self.trunks.get_mut(&server) {
+            trunk.replacement_due = true;
         }
         self.open_link(server, output);
     }
@@ -521,7 +560,9 @@
 
     /// Another call server has taken over the address: the process is gone, and its calls with it.
     pub fn replaced(&mut self, server: ServerId, output: &mut AdapterOutput) {
-        self.stop_connecting(server);
+        if let Some(trunk) = self.trunks.get_mut(&server) {
+            trunk.stop_using();
+        }
         self.close_links(server, |_| true, output);
         if let Some(trunk) = self.trunks.get_mut(&server) {
             trunk.take_established();
@@ -735,6 +776,7 @@
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
         self.counts.connected += 1;
         (trunk.reconnect_delay, trunk.last_seen) = (RECONNECT_DELAY.0, now);
+        trunk.replacement_due = false;
         let waiting = std::mem::take(&mut trunk.waiting_messages);
         let Some(link) = trunk.links.get_mut(&no) else { return };
         (link.connected_at, link.last_seen, link.last_input) = (Some(now), now, now);
@@ -768,11 +810,17 @@
         if how == LinkEnd::Closed(CloseReason::Malformed) || how == LinkEnd::Closed(CloseReason::Incomplete) {
             self.counts.closed_malformed += 1;
         }
+        let link = self.trunks.get(&server).and_then(|trunk| trunk.links.get(&no));
+        let had_set_ups = link.is_some_and(|link| !link.set_ups.is_empty());
         self.end_link(server, no, how, now, output);
         let Some(trunk) = self.trunks.get_mut(&server) else { return };
-        let none_open = trunk.links.values().all(|link| link.connected_at.is_none());
-        if how == LinkEnd::Refused {
-            trunk.refused_at = Some(now);
+        let none_open = !trunk.has_open_link();
+        match how {
+            LinkEnd::Refused => trunk.refused_at = Some(now),
+            LinkEnd::ConnectFailed => {}
+            // An idle connection that its call server closes in order has delivered all that was sent on it.
+            LinkEnd::Closed(CloseReason::Closed) if !had_set_ups => {}
+            LinkEnd::Closed(_) => trunk.replacement_due = !trunk.established.is_empty(),
         }
         let dead = match how {
             // With a connection open it does not: a process that dies resets its connections, and a call server with as
@@ -783,7 +831,9 @@
             // for that. A call server that has left the list and whose last connection ends will send nothing
             // more.
             LinkEnd::Closed(CloseReason::Closed | CloseReason::Reset) => !trunk.wanted,
-            LinkEnd::Closed(_) | LinkEnd::ConnectFailed => false,
+            // One that has left the list and cannot be reached will not come back.
+            LinkEnd::ConnectFailed => !trunk.wanted,
+            LinkEnd::Closed(_) => false,
         };
         if dead && none_open {
             // Otherwise callers would keep established calls at a process that has died: it sends no
@@ -791,15 +841,20 @@
             trunk.take_established();
             output.inputs.push(Input::ServerDied(server));
         }
-        let Some(trunk) = self.trunks.get_mut(&server) else { return };
-        if trunk.wanted && trunk.links.is_empty() {
-            output.deadlines.push((
-                now.plus(trunk.reconnect_delay),
-                DeadlineOwner::SipReconnect,
-                u64::from(server.address),
-            ));
-            trunk.reconnect_delay = Span(trunk.reconnect_delay.0.saturating_mul(2)).min(RECONNECT_DELAY.1);
+        self.connect_again(server, how, now, output);
+    }
+
+    /// Opens the connection that a call server needs after one has ended: at once in place of one that was lost while others
+    /// are open, and otherwise after a delay, which grows with each failure.
+    fn connect_again(&mut self, server: ServerId, how: LinkEnd, now: Time, output: &mut AdapterOutput) {
+        let Some(trunk) = self.trunks.get_mut(&server).filter(|trunk| trunk.needs_link()) else { return };
+        if matches!(how, LinkEnd::Closed(_)) && !trunk.links.is_empty() {
+            self.open_link(server, output);
+            return;
         }
+        let (at, key) = (now.plus(trunk.reconnect_delay), u64::from(server.address));
+        output.deadlines.push((at, DeadlineOwner::SipReconnect, key));
+        trunk.reconnect_delay = Span(trunk.reconnect_delay.0.saturating_mul(2)).min(RECONNECT_DELAY.1);
     }
 
     /// Removes a connection. A set-up on it that was written may have run, and is lost; one that was not is
@@ -876,7 +931,7 @@
     /// The reconnect delay of a call server has passed.
     pub fn reconnect(&mut self, key: u64, output: &mut AdapterOutput) {
         let server = ServerId { address: u32::try_from(key).unwrap_or(0), port: 0 };
-        if self.trunks.get(&server).is_some_and(|t| t.wanted && t.links.is_empty()) {
+        if self.trunks.get(&server).is_some_and(Trunk::needs_link) {
             self.open_link(server, output);
         }
     }
