Tell releases until a stopping process ends, and leave later ones to the next process

Callers saw: calls that ended between 0.9 and 1.4 s after SIGTERM, and no release. Cause: connections with established calls were closed 0.9 s after SIGTERM, while the process went on to take and confirm call servers' releases; they were dropped at its end. Change: these connections stay until the process ends; then it handles and confirms no release any more, closes all callers' connections in order and waits 0.5 s at most for them. Why it works: a release is confirmed only while there is a connection to tell it on, and one that is not confirmed is sent to the next process.

--- a/src/drain.rs
+++ b/src/drain.rs
@@ -14,11 +14,11 @@
 const RELEASES_AWAITED: Span = Span::from_millis(3_600);
 /// Time for new connections when the process is to end; longer, as the front end notices a stop later.
 const CONNECTIONS_ACCEPTED_BEFORE_STOP: Span = Span::from_millis(650);
-/// Time until set-ups are refused and connections with established calls are closed when the process is to end;
-/// shorter, as the process must not stay for long.
+/// Time until set-ups are refused when the process is to end; shorter, as the process must not stay for long.
 const SET_UPS_ACCEPTED_BEFORE_STOP: Span = Span::from_millis(900);
-/// After that, time for callers to close their side of the connections closed here.
-const CLOSE_AWAITED: Span = Span::from_millis(500);
+/// After that, time for the releases of established calls, and then for callers to close their side of the connections
+/// closed here.
+pub const CLOSE_AWAITED: Span = Span::from_millis(500);
 
 /// Whether a controller works or drains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -131,6 +131,8 @@
         let first = accepts_until.max(connected_at.plus(CONNECTIONS_ACCEPTED));
         let last = match self.0 {
             Phase::Draining { since, stopping: false } => since.plus(RELEASES_AWAITED),
+            // The releases of these calls are taken from the call servers until the process ends.
+            _ if has_calls => now.plus(CONNECTIONS_ACCEPTED),
             _ => refuses_from,
         };
         let until = if has_calls { last.max(first) } else { first };
@@ -220,6 +222,9 @@
         drain.begin_stop(at(1_500));
         drain.lameduck(at(1_600));
         assert_eq!(drain.rejoin(), Err(ProcessEnding));
+        let with_calls = drain.review_connection(at(0), true, at(30_000));
+        assert!(matches!(with_calls, ConnectionReview::ReviewAt(_)), "its releases are still to be told");
+        assert_eq!(drain.review_connection(at(0), false, at(30_000)), ConnectionReview::Close);
         let max_caller_wait = Span::from_millis(3_000);
         let table = [
             // what is outstanding, now, exits
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -213,6 +213,7 @@
                 tokio::time::sleep(STOP_CHECK_INTERVAL).await;
             }
             self.leave_legs();
+            self.close_client_connections().await;
         };
         tokio::select! {
             _ = stopped => {}
--- a/src/instance/operators.rs
+++ b/src/instance/operators.rs
@@ -1,13 +1,14 @@
 //! Operators' commands to a running controller, and its metrics.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 
 use crate::console::{self, ConsoleCommand, ConsoleReply};
 use crate::core::DeadlineOwner;
-use crate::drain::{Drain, Outstanding, Phase, ProcessEnding};
-use crate::instance::{Instance, State};
+use crate::drain::{Drain, Outstanding, Phase, ProcessEnding, CLOSE_AWAITED};
+use crate::instance::{Instance, State, STOP_CHECK_INTERVAL};
 use crate::interface::Time;
 use crate::metrics::{self, Gauges};
 
@@ -111,6 +112,22 @@
         state.drain.may_exit(outstanding, state.core.max_caller_wait(), self.0.clock.now())
     }
 
+    /// Closes all callers' connections, as the process is about to end. Releases that arrive from now on are left to the
+    /// next process: no caller could be told of them any more.
+    pub(super) async fn close_client_connections(&self) {
+        {
+            let mut state = self.0.state.borrow_mut();
+            state.sip.leave_releases();
+            for no in state.client_connections.numbers() {
+                state.client_connections.finish(no);
+            }
+        }
+        let closed_by = tokio::time::Instant::now() + Duration::from_micros(CLOSE_AWAITED.0);
+        while self.outstanding() == Outstanding::Connections && tokio::time::Instant::now() < closed_by {
+            tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Whether releases were sent that callers on IAX2 legs or call servers have not confirmed.
     pub(super) fn has_unconfirmed_releases(&self) -> bool {
         let state = self.0.state.borrow();
--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -318,6 +318,9 @@
     next_link: u64,
     #[serde(skip)]
     budget: Budget,
+    /// Whether call servers' releases are neither handled nor confirmed any more.
+    #[serde(skip)]
+    leaves_releases: bool,
     /// Largest number of connections in all, beyond one for each call server.
     #[serde(skip)]
     max_links: usize,
@@ -626,6 +629,11 @@
         self.trunks.get(&server)?.established.get(&sid).cloned()
     }
 
+    /// Call servers' releases are neither handled nor confirmed from now on: they send them to the next process.
+    pub fn leave_releases(&mut self) {
+        self.leaves_releases = true;
+    }
+
     /// Whether releases were sent and are not confirmed.
     pub fn has_unconfirmed_releases(&self) -> bool {
         self.trunks.values().any(|trunk| trunk.releases.has_unconfirmed())
@@ -1063,6 +1071,7 @@
             }
             (StartLine::Response(_), _, _) => {}
             (StartLine::Request(method), _, sid) => match (method.as_str(), sid) {
+                ("BYE", Some(_)) if self.leaves_releases => {}
                 ("BYE", Some(sid)) => {
                     link.queue.push(response(200, "OK", message), None);
                     let cause = message.cause.unwrap_or(CAUSE_CLEARED);
--- a/tests/untold_ends.rs
+++ b/tests/untold_ends.rs
@@ -216,3 +216,47 @@
         second.send("\r\n").await;
     });
 }
+
+/// Guards against a stopping controller that takes releases from its call servers when no caller can be told any more: each
+/// is told, or left to the call server, which sends it to the next process.
+#[test]
+fn release_that_comes_in_a_stop_is_told_or_left_to_the_next_process() {
+    const CALLS: u64 = 40;
+    const PAUSE: Duration = Duration::from_millis(50);
+    on_one_thread(async {
+        let server = ScriptedServer::start("s0").await;
+        let scene = Scene::new("stopping", server.host(0, "ready")).await;
+        let mut connection = server.accept_ready().await;
+        for call in 1..=CALLS {
+            establish(&scene, &mut connection, call).await;
+        }
+        scene._controller.signal("-TERM");
+        let (mut reader, mut writer) = connection.stream.into_split();
+        let releases = spawn_local(async move {
+            for call in 1..=CALLS {
+                tokio::time::sleep(PAUSE).await;
+                let release = format!("BYE sip:peer@net SIP/2.0\r\nCall-ID: {}\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n", name(call));
+                if writer.write_all(release.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let mut bytes = Vec::new();
+        while reader.read_buf(&mut bytes).await.is_ok_and(|count| count > 0) {}
+        releases.await.expect("no panic");
+        let mut confirmed = Vec::new();
+        while let Ok(Some((message, used))) = parse(&bytes) {
+            bytes.drain(..used);
+            if message.start == StartLine::Response(200) && message.cseq.1 == "BYE" {
+                confirmed.push(message.call_id);
+            }
+        }
+        tokio::time::sleep(PAUSE).await;
+        let told = |sid: &String| {
+            scene.events.count(|seen| seen.sid == *sid && matches!(seen.kind, EventKind::Close(..))) == 1
+        };
+        let untold: Vec<&String> = confirmed.iter().filter(|sid| !told(sid)).collect();
+        assert!(confirmed.len() >= 8, "the process was there for at least 0.4 s: {confirmed:?}");
+        assert!(untold.is_empty(), "{untold:?} of {} confirmed", confirmed.len());
+    });
+}
