Test of one caller's share: ask for the other caller's call at once

Its set-up was sent only after 144 refusals had been read; by then, over 0.7 s after the first set-up, the silent call server had been found out, as the comment of the test says. Change: the other caller connects before and asks right behind the 400, so that no reading lies between; the count of refusals is checked exactly. As strict: 256 and the other's call are accepted, 144 refused.

--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -125,13 +125,13 @@
             let attrs = json!({"class": "judge-call", "left": "9000", "key": "7f", "extras": "dest:0;width:1;via:-1"});
             format!("{}\n", json!({"msg": "open", "sid": name(n), "attrs": attrs, "text": "x"}))
         };
+        let usual = Caller::connect(&world, "usual", controller.at).await;
         greedy.send((0..400).map(ask).collect::<String>().as_bytes()).await;
+        usual.open(&name(1_000), 9_000, 0, "x").await;
         let refused = |s: &support::RecordedEvent| matches!(s.kind, EventKind::Close(42, Some(_)));
         world.wait_for_count("set-ups beyond its share are refused", 144, refused).await;
-        assert_eq!(controller.instance.counters().open, 256);
-        let usual = Caller::connect(&world, "usual", controller.at).await;
-        usual.open(&name(1_000), 9_000, 0, "x").await;
         controller.wait_for("the set-up of the other caller is accepted", |i| i.counters().open == 257).await;
+        assert_eq!(world.count(refused), 144);
     });
 }
 
