Refuse set-ups from 0.65 s after SIGTERM, and end as soon as all are answered

Callers saw: no answer to set-ups that came 0.72 to 0.81 s after SIGTERM, where call servers hang but still report, when the process is killed at the earliest (3.7 s with deadlines of 3 s or more). Change: set-ups are refused from 0.65 s, the time of the last new connections. The table of a_stopping_process_ends_once_all_is_answered... changes with the two times: 1_900 becomes 1_650, and connections no longer delay the decision to close, which is followed by up to 0.5 s for the close itself (close_client_connections).

--- a/src/drain.rs
+++ b/src/drain.rs
@@ -14,10 +14,10 @@
 const RELEASES_AWAITED: Span = Span::from_millis(3_600);
 /// Time for new connections when the process is to end; longer, as the front end notices a stop later.
 const CONNECTIONS_ACCEPTED_BEFORE_STOP: Span = Span::from_millis(650);
-/// Time until set-ups are refused when the process is to end; shorter, as the process must not stay for long.
-const SET_UPS_ACCEPTED_BEFORE_STOP: Span = Span::from_millis(900);
-/// After that, time for the releases of established calls, and then for callers to close their side of the connections
-/// closed here.
+/// Time until set-ups are refused when the process is to end: what comes later than 700 ms after SIGTERM must be answered
+/// before the process may be killed, which a call server that hangs would prevent. Shorter, as the process must not stay for long.
+const SET_UPS_ACCEPTED_BEFORE_STOP: Span = Span::from_millis(650);
+/// After that, time for callers to close their side of the connections closed here.
 pub const CLOSE_AWAITED: Span = Span::from_millis(500);
 
 /// Whether a controller works or drains.
@@ -142,7 +142,8 @@
             ConnectionReview::Close
         }
     }
-    /// Whether the process may end: it was asked to stop, set-ups are refused, and no set-up waits for its answer.
+    /// Whether the process may end, once it has closed its callers' connections: it was asked to stop, set-ups are refused,
+    /// and no set-up waits for its answer.
     /// Callers who read no answers delay the end by `max_caller_wait` at most, the longest time any caller waits.
     pub fn may_exit(&self, outstanding: Outstanding, max_caller_wait: Span, now: Time) -> bool {
         let Phase::Draining { stopping: true, .. } = self.0 else { return false };
@@ -151,8 +152,7 @@
             && match outstanding {
                 Outstanding::Calls => false,
                 Outstanding::Answers => now >= refuses_from.plus(max_caller_wait),
-                Outstanding::Connections => now >= refuses_from.plus(CLOSE_AWAITED),
-                Outstanding::Nothing => true,
+                Outstanding::Connections | Outstanding::Nothing => true,
             }
     }
 }
@@ -228,14 +228,13 @@
         let max_caller_wait = Span::from_millis(3_000);
         let table = [
             // what is outstanding, now, exits
-            (Outstanding::Nothing, 1_899, false),
-            (Outstanding::Nothing, 1_900, true),
-            (Outstanding::Connections, 1_900, false),
-            (Outstanding::Connections, 2_399, false),
-            (Outstanding::Connections, 2_400, true),
+            (Outstanding::Nothing, 1_649, false),
+            (Outstanding::Nothing, 1_650, true),
+            (Outstanding::Connections, 1_649, false),
+            (Outstanding::Connections, 1_650, true),
             (Outstanding::Answers, 2_400, false),
-            (Outstanding::Answers, 4_899, false),
-            (Outstanding::Answers, 4_900, true),
+            (Outstanding::Answers, 4_649, false),
+            (Outstanding::Answers, 4_650, true),
             // Guards against a call left without an answer because its caller waits a little longer than its class
             // does.
             (Outstanding::Calls, 4_900, false),
