Open no connection to a call server once releases are left to the next process

Cause: a stopping process that no longer handles releases still replaced lost connections; a call server sends a waiting release on the next connection that opens, once, and it was dropped there. Change: open_link refuses from then on.

--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -598,6 +598,10 @@
     }
 
     fn open_link(&mut self, server: ServerId, output: &mut AdapterOutput) -> Option<u64> {
+        // A call server sends its releases on the next connection that opens: that is to be one of the next process.
+        if self.leaves_releases {
+            return None;
+        }
         let trunk = self.trunks.get_mut(&server)?;
         let no = self.next_link;
         self.next_link += 1;
--- a/src/upstream/sip/tests.rs
+++ b/src/upstream/sip/tests.rs
@@ -570,6 +570,28 @@
     }
 }
 
+/// Guards against a stopping process that opens a connection, is sent the releases that wait for one, and drops them.
+#[test]
+fn no_connection_is_opened_once_releases_are_left_to_the_next_process() {
+    for leaves in [false, true] {
+        let (mut bench, link) = TestBench::new();
+        bench.open(link);
+        bench.establish(link, 1);
+        let second = bench.invite(2).connects.len() + bench.invite(3).connects.len();
+        assert_eq!(second, 1);
+        if leaves {
+            bench.trunks.leave_releases();
+        }
+        let mut connects = bench.close(link, LinkEnd::Closed(CloseReason::Reset)).connects.len();
+        let mut output = AdapterOutput::default();
+        bench.trunks.reconnect(1, &mut output);
+        bench.now = at(5_000);
+        connects +=
+            output.connects.len() + bench.check_silence().connects.len() + bench.invite(4).connects.len();
+        assert_eq!(connects == 0, leaves);
+    }
+}
+
 /// The releases queued on a connection, which are written by this.
 fn written_releases(bench: &TestBench, link: u64) -> usize {
     let queue = bench.trunks.queue_of(link).expect("a queue");
