Tests: free addresses that a program being started cannot keep in use

Cause: an address was found by listening on a free port, closing the listener and binding the port again. Six trials share a process; while one of them starts a controller, the new process holds copies of all sockets until its exec, and such a copy that listens keeps the port in use.

Change: lockpoint_lab::ports. free_address binds without listening, which keeps nobody out; listen_again waits until a closed listener's address is released. The soak's peers are given their listeners, bound once. Used by the soak, the bench of the laboratory, and the tests that looked for free addresses in the same way. Errors at a later step of a soak's fault (a new call server, a path that accepts again) were dropped; they now fail the trial.

Not changed: the UDP addresses of tests/replication_processes.rs, where the same window exists.

--- a/crates/lockpoint-lab/src/bench.rs
+++ b/crates/lockpoint-lab/src/bench.rs
@@ -16,6 +16,7 @@
 use crate::callers::{default_ask, Caller};
 use crate::event_log::{now, sleep_until, time_of, EventKind, EventLog, RecordedEvent};
 use crate::experiment::Experiment;
+use crate::ports::free_address;
 use crate::results::{latency_histogram, quantile_ms};
 use crate::run::{agent_file, any_port, TestBed};
 use crate::sip::{ServerBehaviour, SipServer};
@@ -171,8 +172,8 @@
 async fn measure_relay(options: &Options) -> Result<Measurement, LabError> {
     let log = EventLog::without_history();
     let server = server(&log).await;
-    let free = std::net::TcpListener::bind(any_port()).and_then(|listener| listener.local_addr());
-    let at = free.map_err(|why| LabError::Socket { what: "a port".to_owned(), why })?;
+    let at =
+        free_address(any_port().ip()).map_err(|why| LabError::Socket { what: "a port".to_owned(), why })?;
     let (listen, call) = (at.to_string(), server.at.to_string());
     let program = sibling_program("lockpoint-lab");
     let child = spawn(&program, &["relay", "--listen", &listen, "--server", &call], true)?;
--- a/crates/lockpoint-lab/src/lib.rs
+++ b/crates/lockpoint-lab/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod iax2;
 pub mod load;
 pub mod path;
+pub mod ports;
 pub mod processor;
 pub mod relay;
 pub mod resolver;
--- a/crates/lockpoint-lab/src/sip.rs
+++ b/crates/lockpoint-lab/src/sip.rs
@@ -13,6 +13,7 @@
 use tokio::task::{spawn_local, JoinHandle};
 
 use crate::event_log::{EventKind, EventLog};
+use crate::ports::listen_again;
 use crate::server_model::{ModelEvent, ServerModel};
 
 /// Writes in pieces of `pieces` bytes, so that each can travel in its own packet; 0: in one piece.
@@ -484,7 +485,7 @@
         if let ServerBehaviour::Model(model) = &*self.behaviour.borrow() {
             model.restart();
         }
-        self.listen(TcpListener::bind(self.at).await?);
+        self.listen(listen_again(self.at).await?);
         Ok(())
     }
 
--- a/crates/lockpoint-lab/src/soak/faults.rs
+++ b/crates/lockpoint-lab/src/soak/faults.rs
@@ -1,6 +1,7 @@
 //! Carries out the faults of a plan.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -54,6 +55,8 @@
     pub settings: Value,
     /// How many faults could not be applied, as too few call servers were left.
     pub skipped: Cell<u32>,
+    /// What could not be applied for another reason.
+    pub failures: RefCell<Vec<String>>,
 }
 
 impl Targets {
@@ -100,6 +103,12 @@
         }
     }
 
+    /// The result of a step of a fault; an error fails the trial.
+    fn expect<T>(&self, step: &str, result: io::Result<T>) -> Option<T> {
+        let record = |error: io::Error| self.failures.borrow_mut().push(format!("{step}: {error}"));
+        result.map_err(record).ok()
+    }
+
     fn usual_connections(&self) -> ConnectionFaults {
         ConnectionFaults { in_pieces: self.plan.in_pieces, ..ConnectionFaults::default() }
     }
@@ -181,7 +190,8 @@
         sends_releases: bool,
     ) {
         let Some(server) = self.dispensable(number) else { return };
-        let Ok(next) = self.peers.add_server(server.number(), 0).await else { return };
+        let added = self.peers.add_server(server.number(), 0).await;
+        let Some(next) = self.expect("a new call server", added) else { return };
         next.mark_started();
         next.set_faults(self.usual_connections());
         self.peers.list(&next, ListedState::Ready);
@@ -231,9 +241,11 @@
 
     /// A call server's process starts, and its restart is listed later.
     async fn come_back(&self, server: &Server) {
-        let _ = server.server.restart().await;
+        let restarted = server.server.restart().await;
+        self.expect("the restart of a call server", restarted);
         server.reset();
-        server.accept().await;
+        let accepts = server.accept().await;
+        self.expect("the path to a call server", accepts);
         server.mark_started();
         tokio::time::sleep(RESTART_LISTED_AFTER).await;
         // A drain may have been listed meanwhile, and stays.
@@ -297,7 +309,8 @@
         tokio::time::sleep(DRAIN_BEFORE_RETURN).await;
         for path in self.peers.discovery_paths.iter().flatten() {
             path.reset();
-            let _ = path.accept().await;
+            let accepts = path.accept().await;
+            self.expect("the path to discovery", accepts);
         }
     }
 
--- a/crates/lockpoint-lab/src/soak/peers.rs
+++ b/crates/lockpoint-lab/src/soak/peers.rs
@@ -12,6 +12,7 @@
 
 use crate::bulletin::{list_entry, Bulletin};
 use crate::event_log::{EventKind, EventLog, ListedState};
+use crate::ports::free_address;
 use crate::processor::ProcessorConfig;
 use crate::server_model::ServerModel;
 use crate::sip::{ServerBehaviour, SipServer};
@@ -46,11 +47,17 @@
     fn of_controller(&self, number: usize) -> IpAddr {
         Ipv4Addr::new(127, self.network[0], self.network[1], FIRST_CONTROLLER_HOST + number as u8).into()
     }
-    /// A free address that is not given again.
-    pub fn next(&self) -> io::Result<SocketAddr> {
+    fn next_ip(&self) -> IpAddr {
         self.next.set(self.next.get() % (FIRST_CONTROLLER_HOST - 1) + 1);
-        let ip = Ipv4Addr::new(127, self.network[0], self.network[1], self.next.get());
-        std::net::TcpListener::bind((ip, 0)).and_then(|listener| listener.local_addr())
+        Ipv4Addr::new(127, self.network[0], self.network[1], self.next.get()).into()
+    }
+    /// A free address for a controller.
+    pub fn free(&self) -> io::Result<SocketAddr> {
+        free_address(self.next_ip())
+    }
+    /// A listener at an address that is not given again.
+    async fn listen(&self) -> io::Result<TcpListener> {
+        TcpListener::bind((self.next_ip(), 0)).await
     }
 }
 
@@ -105,11 +112,11 @@
     ) -> io::Result<Rc<Peers>> {
         let (mut bulletins, mut discovery_paths) = (Vec::new(), Vec::new());
         for number in 0..CONTROLLERS {
-            let bulletin = Bulletin::start_on(events, TcpListener::bind(addresses.next()?).await?)?;
+            let bulletin = Bulletin::start_on(events, addresses.listen().await?)?;
             let from = addresses.of_controller(number);
             discovery_paths.push([
-                TcpPath::open(addresses.next()?, bulletin.at, from).await?,
-                TcpPath::open(addresses.next()?, bulletin.at, from).await?,
+                TcpPath::open(addresses.listen().await?, bulletin.at, from)?,
+                TcpPath::open(addresses.listen().await?, bulletin.at, from)?,
             ]);
             bulletins.push(bulletin);
         }
@@ -147,7 +154,7 @@
         let mut paths = Vec::new();
         for number in 0..CONTROLLERS {
             let from = self.addresses.of_controller(number);
-            paths.push(TcpPath::open(self.addresses.next()?, server.at, from).await?);
+            paths.push(TcpPath::open(self.addresses.listen().await?, server.at, from)?);
         }
         let (started_ms, listed) = (Cell::new(started_ms), Cell::new(ListedState::Ready));
         let disturbances = Cell::new(0);
@@ -226,10 +233,11 @@
         self.paths.iter().for_each(|path| path.refuse());
     }
     /// New connections are accepted again.
-    pub async fn accept(&self) {
+    pub async fn accept(&self) -> io::Result<()> {
         for path in &self.paths {
-            let _ = path.accept().await;
+            path.accept().await?;
         }
+        Ok(())
     }
     /// Whether it is listed as ready.
     pub fn is_ready(&self) -> bool {
--- a/crates/lockpoint-lab/src/soak/tcp_path.rs
+++ b/crates/lockpoint-lab/src/soak/tcp_path.rs
@@ -12,6 +12,8 @@
 use tokio::sync::watch;
 use tokio::task::{spawn_local, JoinHandle};
 
+use crate::ports::listen_again;
+
 /// The pause between two pieces of a message that travels in pieces.
 const PIECE_PAUSE: Duration = Duration::from_millis(1);
 /// The size of these pieces, in bytes.
@@ -52,9 +54,8 @@
 }
 
 impl TcpPath {
-    /// Opens a path from the address `at` to a peer, which sees connections come from the address `from`.
-    pub async fn open(at: SocketAddr, peer: SocketAddr, from: IpAddr) -> io::Result<Rc<TcpPath>> {
-        let listener = TcpListener::bind(at).await?;
+    /// Opens a path from a listener to a peer, which sees connections come from the address `from`.
+    pub fn open(listener: TcpListener, peer: SocketAddr, from: IpAddr) -> io::Result<Rc<TcpPath>> {
         let path = Rc::new(TcpPath {
             at: listener.local_addr()?,
             peer,
@@ -104,7 +105,7 @@
     /// Accepts connections again.
     pub async fn accept(self: &Rc<Self>) -> io::Result<()> {
         if self.listening.borrow().is_none() {
-            self.listen(TcpListener::bind(self.at).await?);
+            self.listen(listen_again(self.at).await?);
         }
         Ok(())
     }
--- a/crates/lockpoint-lab/src/soak/trial.rs
+++ b/crates/lockpoint-lab/src/soak/trial.rs
@@ -89,7 +89,7 @@
     let peers = Peers::start(&events, &plan, &addresses).await.map_err(socket)?;
     let mut controllers = Vec::new();
     for number in 0..CONTROLLERS {
-        let at = addresses.next().map_err(socket)?;
+        let at = addresses.free().map_err(socket)?;
         controllers.push(ControllerProcess::new(number, at, program, directory));
     }
     let settings = settings(&plan)?;
@@ -100,6 +100,7 @@
         controllers: controllers.clone(),
         settings,
         skipped: Cell::new(0),
+        failures: RefCell::default(),
     });
     for controller in &controllers {
         targets.start(controller).await;
@@ -116,6 +117,7 @@
         .iter()
         .map(|(rule, (times, first))| format!("{rule:?} {times}x: {first}"))
         .collect();
+    failures.append(&mut targets.failures.borrow_mut());
     for controller in &controllers {
         controller.has_ended();
         failures.extend(controller.failures.borrow().iter().cloned());
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -84,8 +84,7 @@
 fn free_address() -> String {
     let id = std::process::id();
     let ip = std::net::Ipv4Addr::from([127, 3, (id % 250) as u8, (id / 250 % 250) as u8]);
-    let listener = std::net::TcpListener::bind((ip, 0)).expect("a port is free");
-    listener.local_addr().expect("the socket is bound").to_string()
+    lockpoint_lab::ports::free_address(ip.into()).expect("a port is free").to_string()
 }
 
 async fn connect(world: &EventLog, address: &str) -> Caller {
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -2,7 +2,7 @@
 //! nothing.
 
 use std::io::{BufRead, BufReader};
-use std::net::TcpListener;
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::process::{self, Child, Stdio};
 use std::time::{Duration, Instant};
@@ -11,6 +11,7 @@
 use lockpoint_lab::bulletin::Bulletin;
 use lockpoint_lab::callers::Caller;
 use lockpoint_lab::event_log::{on_one_thread, EventLog};
+use lockpoint_lab::ports::free_address;
 use serde_json::Value;
 
 const FILE: &str = r#"
@@ -83,7 +84,7 @@
 #[test]
 fn an_outage_of_the_bulletin_is_logged_once_when_it_begins_and_once_when_it_ends() {
     on_one_thread(async {
-        let address = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port is free");
+        let address = free_address(Ipv4Addr::LOCALHOST.into()).expect("a port is free");
         let mut agent = Agent::start("outage", &address.to_string());
         while agent.bulletin_failures().await < 3 {
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/tests/pieces.rs
+++ b/tests/pieces.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use lockpoint_lab::ports::free_address;
 use rstest::rstest;
 use serde_json::json;
 use support::{
@@ -60,7 +61,7 @@
 
 /// An address on which nothing listens.
 fn unused_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+    free_address(Ipv4Addr::LOCALHOST.into()).expect("a port")
 }
 
 /// Guards against a set-up that is resent too early after its connection is lost. The call server had begun
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -19,7 +19,7 @@
     let own = Ipv4Addr::new(127, 1 + process[1] % 254, process[2], process[3].max(1));
     let mut given = GIVEN.lock().expect("no test panics while it holds the lock");
     loop {
-        let at = TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port");
+        let at = lockpoint_lab::ports::free_address(own.into()).expect("a port");
         if given.insert(at) {
             return at;
         }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::cell::Cell;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use lockpoint::takeover::{self, FrameKind, TakeoverChannel, TakeoverError};
+use lockpoint_lab::ports::free_address;
 use rstest::rstest;
 use serde_json::json;
 use support::{
@@ -59,8 +60,9 @@
     fn free_console_address(&self) -> SocketAddr {
         let id = std::process::id();
         self.consoles.set(self.consoles.get() + 1);
-        let host = [127, 1 + (id % 200) as u8, 1 + (self.no % 200) as u8, self.consoles.get()];
-        TcpListener::bind((std::net::Ipv4Addr::from(host), 0)).and_then(|l| l.local_addr()).expect("a port")
+        let host =
+            Ipv4Addr::from([127, 1 + (id % 200) as u8, 1 + (self.no % 200) as u8, self.consoles.get()]);
+        free_address(host.into()).expect("a port")
     }
 
     fn write_config(&self, change: impl Fn(&mut serde_json::Value)) -> PathBuf {
