Soak: a call server stays down until the last of its overlapping outages

Cause: where a vanished or restarted call server is struck again before it is back, each fault started its process at its own end; the second start met the first, and the later outage ended early.

Change: outages are counted, and the last one to end starts the process. Call servers listen at addresses of the trial's own, as their paths do: on 127.0.0.1 an outgoing connection may take the port meanwhile (by reading; not seen).

--- a/crates/lockpoint-lab/src/sip.rs
+++ b/crates/lockpoint-lab/src/sip.rs
@@ -122,6 +122,16 @@
     /// Starts a call server on a free port.
     pub async fn start(events: &EventLog, name: &str, behaviour: ServerBehaviour) -> Rc<SipServer> {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        SipServer::start_on(events, name, behaviour, listener)
+    }
+
+    /// Starts a call server on a socket that listens already.
+    pub fn start_on(
+        events: &EventLog,
+        name: &str,
+        behaviour: ServerBehaviour,
+        listener: TcpListener,
+    ) -> Rc<SipServer> {
         let server = Rc::new(SipServer {
             name: name.to_owned(),
             at: listener.local_addr().expect("the local address"),
--- a/crates/lockpoint-lab/src/soak/faults.rs
+++ b/crates/lockpoint-lab/src/soak/faults.rs
@@ -223,22 +223,29 @@
         let Some(server) = self.peers.ready_server(number) else { return };
         self.disturbed(&server, true);
         server.cut();
-        server.server.die();
-        tokio::time::sleep(time).await;
-        self.come_back(&server).await;
+        self.outage(&server, time).await;
         self.disturbed(&server, false);
     }
 
     async fn restart(&self, number: usize, time: Duration) {
         let Some(server) = self.peers.ready_server(number) else { return };
         self.disturbed(&server, true);
-        server.server.die();
         server.refuse();
-        tokio::time::sleep(time).await;
-        self.come_back(&server).await;
+        self.outage(&server, time).await;
         self.disturbed(&server, false);
     }
 
+    /// A call server's process dies and is started after a time, or after the last of several outages that overlap.
+    async fn outage(&self, server: &Server, time: Duration) {
+        server.outages.update(|outages| outages + 1);
+        server.server.die();
+        tokio::time::sleep(time).await;
+        server.outages.update(|outages| outages - 1);
+        if server.outages.get() == 0 {
+            self.come_back(server).await;
+        }
+    }
+
     /// A call server's process starts, and its restart is listed later.
     async fn come_back(&self, server: &Server) {
         let restarted = server.server.restart().await;
--- a/crates/lockpoint-lab/src/soak/peers.rs
+++ b/crates/lockpoint-lab/src/soak/peers.rs
@@ -79,6 +79,8 @@
     started_ms: Cell<u64>,
     /// How many faults of the path to it there are at present.
     pub disturbances: Cell<u32>,
+    /// How many faults keep its process down at present.
+    pub outages: Cell<u32>,
     /// Its state in discovery.
     pub listed: Cell<ListedState>,
 }
@@ -148,7 +150,9 @@
         let model =
             ServerModel::new(processor, self.plan.hold.as_millis() as u64, self.plan.seed + number as u64);
         let behaviour = ServerBehaviour::Model(model.clone());
-        let server = SipServer::start(&self.events, &format!("s{number}"), behaviour).await;
+        // At an address of the trial's own, which no outgoing connection takes while the call server is down.
+        let listener = self.addresses.listen().await?;
+        let server = SipServer::start_on(&self.events, &format!("s{number}"), behaviour, listener);
         server.pieces.set(if self.plan.in_pieces { 30 } else { 0 });
         server.unconfirmed_every.set(self.plan.unconfirmed_every);
         let mut paths = Vec::new();
@@ -157,8 +161,16 @@
             paths.push(TcpPath::open(self.addresses.listen().await?, server.at, from)?);
         }
         let (started_ms, listed) = (Cell::new(started_ms), Cell::new(ListedState::Ready));
-        let disturbances = Cell::new(0);
-        let server = Rc::new(Server { server, model, paths, cell, started_ms, disturbances, listed });
+        let server = Rc::new(Server {
+            server,
+            model,
+            paths,
+            cell,
+            started_ms,
+            disturbances: Cell::new(0),
+            outages: Cell::new(0),
+            listed,
+        });
         self.servers.borrow_mut().push(server.clone());
         Ok(server)
     }
