Checker: the pause after a lost answer counts from its loss, not from a later death

The controller's log and the stand-ins' trace: the call server answered, its path was reset 2 ms later, the controller saw the connection end and began the next attempt 506 ms after that, as it must. The call server died 64 ms after the reset, and the checker counted 500 ms anew from there.

Change: an attempt whose answer was lost has ended with its loss. The 500 ms count from the reset or the cut, where the checker did not count them before (two new cases, not detected before), and a later death does not move them (one case, a false violation before). A new attempt settles what was lost before it.

--- a/crates/lockpoint-lab/src/audit.rs
+++ b/crates/lockpoint-lab/src/audit.rs
@@ -136,7 +136,7 @@
             EventKind::Disturbed(true) => self.disturb(at, source),
             EventKind::ConnectionsReset => {
                 self.reset_at.insert(source.to_owned(), at);
-                self.mark_lost_answers(source);
+                self.mark_lost_answers(at, source);
             }
             EventKind::Disturbed(false) => drop(self.disturbed.remove(source)),
             _ if sid.is_empty() => {}
@@ -244,7 +244,8 @@
         }
         let other = call.outstanding.replace(source.to_owned());
         // A cancellation on a disturbed path does not arrive.
-        let ended = |other: &String| call.answer_lost_from.as_ref() == Some(other);
+        let lost_from = call.answer_lost_from.take();
+        let ended = |other: &String| lost_from.as_ref() == Some(other);
         if let Some(other) = other.filter(|other| !self.disturbed.contains(other) && !ended(other)) {
             self.add_violation(
                 Rule::OneAttempt,
@@ -326,7 +327,10 @@
         for call in calls.values_mut().filter(|call| call.outstanding.as_deref() == Some(source)) {
             call.outstanding = None;
             call.last_event = at;
-            call.no_attempt_before = at.plus(RETRY_GAP);
+            // An attempt whose answer was lost has ended before.
+            if call.answer_lost_from.as_deref() != Some(source) {
+                call.no_attempt_before = at.plus(RETRY_GAP);
+            }
             // The next process of a controller cannot know of a call that never gets a release.
             if !call.answers.is_empty() && !call.orphaned {
                 self.end_call(at, RELEASE_LIMIT_AFTER_DEATH, call);
@@ -338,7 +342,7 @@
     /// Releases that were sent just now may have been lost: they count as not sent.
     fn disturb(&mut self, at: Time, source: &str) {
         self.disturbed.insert(source.to_owned());
-        self.mark_lost_answers(source);
+        self.mark_lost_answers(at, source);
         for call in self.calls.values_mut() {
             let Some(ended_at) = call.ended_at.filter(|_| call.ended_by.as_deref() == Some(source)) else {
                 continue;
@@ -353,11 +357,13 @@
     }
 
     /// Answers of a call server that their callers have not received may have been lost.
-    fn mark_lost_answers(&mut self, source: &str) {
+    fn mark_lost_answers(&mut self, at: Time, source: &str) {
         let unanswered = self.calls.values_mut().filter(|call| call.final_outcome.is_none());
         for call in unanswered {
-            if !call.answers.is_empty() && call.outstanding.as_deref() == Some(source) {
+            let marked = call.answer_lost_from.as_deref() == Some(source);
+            if !call.answers.is_empty() && call.outstanding.as_deref() == Some(source) && !marked {
                 call.answer_lost_from = Some(source.to_owned());
+                call.no_attempt_before = at.plus(RETRY_GAP);
             }
         }
     }
@@ -522,7 +528,7 @@
     #[test]
     fn releases_and_attempts_are_excused_only_as_far_as_a_fault_outside_the_controller_reaches() {
         type Change = fn(&mut Vec<(u64, &'static str, EventKind)>);
-        let cases: [(&[Rule], Change); 11] = [
+        let cases: [(&[Rule], Change); 14] = [
             // A release that was on its way when its call server died: the controller must notice the death.
             (&[Rule::Release], |s| {
                 s.insert(8, (2_900, "s1", EventKind::Disturbed(true)));
@@ -567,6 +573,23 @@
                 s[4] = (30, "s0", EventKind::Answered("a".into()));
                 s.insert(5, (35, "s0", EventKind::ConnectionsReset));
             }),
+            // Its attempt ended with the reset: the 500 ms count from then, whenever its call server dies.
+            (&[Rule::OneAttempt], |s| {
+                s[4] = (30, "s0", EventKind::Answered("a".into()));
+                s.insert(5, (35, "s0", EventKind::ConnectionsReset));
+                s[6].0 = 480;
+            }),
+            (&[Rule::OneAttempt], |s| {
+                s[4] = (30, "s0", EventKind::Answered("a".into()));
+                s.insert(5, (35, "s0", EventKind::Disturbed(true)));
+                s[6].0 = 480;
+            }),
+            (&[], |s| {
+                s[4] = (30, "s0", EventKind::Answered("a".into()));
+                s.insert(5, (35, "s0", EventKind::ConnectionsReset));
+                s.insert(6, (500, "s0", EventKind::Died));
+                s[7].0 = 600;
+            }),
         ];
         for (n, (rules, change)) in cases.iter().enumerate() {
             let mut script = script();
