--- a/crates/lockpoint-lab/src/callers.rs
+++ b/crates/lockpoint-lab/src/callers.rs
@@ -31,6 +31,8 @@
     writer: Rc<Mutex<Option<OwnedWriteHalf>>>,
     /// Whether it confirms releases.
     confirms: Rc<Cell<bool>>,
+    /// Whether it drops the connection itself.
+    dropped: Cell<bool>,
     reading: JoinHandle<()>,
 }
 
@@ -74,7 +76,8 @@
                 }
             }
         });
-        Ok(Caller { events: events.clone(), name: name.to_owned(), writer, confirms, reading })
+        let dropped = Cell::new(false);
+        Ok(Caller { events: events.clone(), name: name.to_owned(), writer, confirms, dropped, reading })
     }
 
     /// Makes it confirm each release from now on.
@@ -99,7 +102,12 @@
         self.send_in_pieces(0, bytes).await;
     }
 
-    /// Whether the controller has closed the connection.
+    /// Whether it has dropped the connection itself, or is about to.
+    pub fn has_dropped(&self) -> bool {
+        self.dropped.get()
+    }
+
+    /// Whether the connection has ended.
     pub fn is_disconnected(&self) -> bool {
         self.reading.is_finished()
     }
@@ -133,11 +141,25 @@
         self.try_send(0, format!("{line}\n").as_bytes()).await
     }
 
+    /// Reads nothing more: it is about to drop the connection.
+    pub fn stop_reading(&self) {
+        self.dropped.set(true);
+        self.reading.abort();
+    }
+
     /// Drops the connection without closing any call.
     pub fn drop_connection(&self) {
-        self.reading.abort();
+        self.stop_reading();
         if let Ok(mut writer) = self.writer.try_lock() {
             writer.take();
         }
     }
+
+    /// Resets the connection without closing any call.
+    pub fn reset_connection(&self) {
+        if let Ok(Some(writer)) = self.writer.try_lock().as_deref() {
+            let _ = writer.as_ref().set_zero_linger();
+        }
+        self.drop_connection();
+    }
 }
--- a/crates/lockpoint-lab/src/soak/callers.rs
+++ b/crates/lockpoint-lab/src/soak/callers.rs
@@ -32,6 +32,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// What SIGKILL finds unanswered is lost only if it came later than this after SIGTERM.
 const EXCUSED_AFTER_STOP: Duration = Duration::from_millis(700);
+/// The probability that callers drop one of their connections at a check, where they do.
+const DROP_PROBABILITY: f64 = 0.05;
+/// They have read nothing for this long then.
+const UNREAD_TIME: Duration = Duration::from_millis(30);
 /// How often a refused caller comes again.
 const MAX_REPEATS: u32 = 3;
 /// How long a bad client keeps its connection.
@@ -123,11 +127,29 @@
     /// Keeps connections open, on which releases can be told.
     pub async fn keep_connections(self: Rc<Self>) {
         loop {
-            let _ = self.connection().await;
+            let connection = self.connection().await;
+            let drops = self.plan.callers_disconnect && self.fraction() < DROP_PROBABILITY;
+            // Without another connection soon nobody could be told anything.
+            if let Some(caller) =
+                connection.filter(|_| drops && self.controller.phase.get() == Phase::Serving)
+            {
+                self.drop_connection(&caller).await;
+            }
             tokio::time::sleep(CHECK_INTERVAL * 4).await;
         }
     }
 
+    /// Ends a connection with what has arrived on it last unread.
+    async fn drop_connection(&self, caller: &Caller) {
+        caller.stop_reading();
+        tokio::time::sleep(UNREAD_TIME).await;
+        if self.fraction() < 0.5 {
+            caller.drop_connection();
+        } else {
+            caller.reset_connection();
+        }
+    }
+
     fn accepts_connections(&self) -> bool {
         match self.controller.phase.get() {
             Phase::Serving => true,
@@ -260,7 +282,7 @@
                     Outcome::Refused
                 };
             }
-            if self.is_excused(asked_at) {
+            if caller.has_dropped() || self.is_excused(asked_at) {
                 self.events.record("caller", sid, EventKind::GaveUp);
                 return Outcome::Left;
             }
--- a/crates/lockpoint-lab/src/soak/faults.rs
+++ b/crates/lockpoint-lab/src/soak/faults.rs
@@ -36,6 +36,8 @@
 const DRAIN_BEFORE_RETURN: Duration = Duration::from_millis(100);
 /// The pause between two reloads in quick succession.
 const RELOAD_PAUSE: Duration = Duration::from_millis(60);
+/// The pause between two signals to a controller that stops.
+const SIGNAL_PAUSE: Duration = Duration::from_millis(90);
 /// How long a crowd stays.
 const CROWD_TIME: Duration = Duration::from_secs(2);
 /// At least this many call servers stay listed as ready.
@@ -131,6 +133,9 @@
         let stopped_at = Instant::now();
         controller.phase.set(Phase::Stopping(stopped_at));
         controller.signal(Signal::TERM);
+        if self.plan.signals_in_series {
+            spawn_local(signal_until_end(controller.clone()));
+        }
         let kill_at = stopped_at + self.plan.deadline.min(MAX_COUNTED_DEADLINE) + KILL_MARGIN;
         while Instant::now() < kill_at && !controller.has_ended() {
             tokio::time::sleep(CHECK_INTERVAL).await;
@@ -163,9 +168,8 @@
                 self.peers.discovery_fails_for(Duration::ZERO); // the open call is given up
             }
             for controller in &self.controllers {
-                if self.write_config(controller, MEMORY_LIMIT_MB - u64::from(n)).is_ok()
-                    && controller.phase.get() == Phase::Serving
-                {
+                let catches_signals = matches!(controller.phase.get(), Phase::Serving | Phase::Stopping(_));
+                if self.write_config(controller, MEMORY_LIMIT_MB - u64::from(n)).is_ok() && catches_signals {
                     controller.signal(Signal::HUP);
                 }
             }
@@ -334,3 +338,15 @@
         }
     }
 }
+
+/// Sends a stopping controller one signal after another until it ends.
+async fn signal_until_end(controller: Rc<ControllerProcess>) {
+    let series = [Signal::HUP, Signal::TERM];
+    for signal in series.into_iter().cycle() {
+        tokio::time::sleep(SIGNAL_PAUSE).await;
+        if !matches!(controller.phase.get(), Phase::Stopping(_)) {
+            return;
+        }
+        controller.signal(signal);
+    }
+}
--- a/crates/lockpoint-lab/src/soak/plan.rs
+++ b/crates/lockpoint-lab/src/soak/plan.rs
@@ -89,6 +89,10 @@
     pub repeats: f64,
     /// Whether bad clients send what cannot be read, stop in the middle of a message, or write slowly.
     pub bad_clients: bool,
+    /// Whether a controller that stops gets further signals until its end: SIGHUP and SIGTERM by turns.
+    pub signals_in_series: bool,
+    /// Whether callers close or reset their connections while calls wait and stand.
+    pub callers_disconnect: bool,
     /// The faults and when they begin, in order.
     pub faults: Vec<(Duration, Fault)>,
 }
@@ -111,6 +115,8 @@
             impatient: draw.between(0.0, 0.2),
             repeats: draw.between(0.3, 1.0),
             bad_clients: draw.one_in(2),
+            signals_in_series: false,
+            callers_disconnect: false,
             faults: Vec::new(),
         };
         let count = 4 + draw.below(6);
@@ -125,6 +131,8 @@
             let at = Duration::from_secs_f64(first + n as f64 * draw.between(0.05, 1.5));
             plan.faults.push((at, Fault::StopController(n)));
         }
+        plan.signals_in_series = draw.one_in(2);
+        plan.callers_disconnect = draw.one_in(2);
         plan.faults.sort_by_key(|(at, _)| *at);
         plan
     }
