--- a/tests/support/scene.rs
+++ b/tests/support/scene.rs
@@ -27,11 +27,16 @@
     }
 
     pub async fn listing(test: &str, entries: Vec<Value>) -> Scene {
+        Scene::limited(test, entries, 192).await
+    }
+
+    /// A scene whose controller has this memory limit, in MB.
+    pub async fn limited(test: &str, entries: Vec<Value>, memory_mb: u64) -> Scene {
         let events = EventLog::default();
         let bulletin = Bulletin::start(&events).await;
         bulletin.publish(true, entries);
         let config = json!({"bulletin": bulletin.at.to_string(), "settings": settings(1),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}});
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}});
         let controller = Platform::start(test, &config, None);
         let deadline = Instant::now() + START_TIMEOUT;
         while !controller.call("PING").is_some_and(|answer| answer.starts_with("SUCCESS")) {
