--- a/src/upstream/sip/mod.rs
+++ b/src/upstream/sip/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! Holds no sockets: a connection is a number with a write queue.
 
+mod link;
 pub mod message;
 mod releases;
 #[cfg(test)]
 mod tests;
+mod trunk;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -22,8 +24,11 @@
 use crate::net::conn::CloseReason;
 use crate::net::queue::{Budget, WriteQueue};
 use crate::upstream::AdapterOutput;
-use message::{connection_test, parse_report, refusal_from_response, request, response, Message, StartLine};
-use releases::{LastSent, PendingReleases, ReleaseToSend};
+pub use link::LinkEnd;
+use link::{HeldAnswer, Link, OutstandingSetUp};
+use message::{parse_report, refusal_from_response, request, response, Message, StartLine};
+use releases::{LastSent, PendingReleases};
+use trunk::Trunk;
 
 /// Largest number of connections to one call server. Set-ups are spread over them, so that malformed input or
 /// a close on one does not affect the others.
@@ -33,9 +38,6 @@
 const FIRST_MESSAGE_TIMEOUT: Span = Span::from_millis(150);
 /// How often a set-up that has not been written when its connection ends is moved to another.
 const MAX_MOVES: u8 = 3;
-/// A connection without any input for this long after a set-up gets no further set-ups while another can be
-/// had. Otherwise calls would be lost in the open but silent connections of a machine that has vanished.
-const SUSPECT_AFTER: Span = Span::from_millis(700);
 /// Shortest and longest delay before reconnecting.
 const RECONNECT_DELAY: (Span, Span) = (Span::from_millis(100), Span::from_millis(1_000));
 /// After this much silence, a call server with established calls is offered another connection, on which it
@@ -47,235 +49,9 @@
 /// must get a release within 8 s, and a call may have ended at the start of the silence, or shortly before it
 /// on a connection that fell silent first.
 const SILENCE_TIMEOUT: Span = Span::from_millis(6_500);
-/// How many cancelled set-ups are remembered on a connection; the oldest are dropped. More than one connection
-/// carries within the time that a call is tried for.
-const MAX_REMEMBERED: usize = 256;
 /// Placeholder for an unknown number in a request URI; call servers use only the `Call-ID` of such a request.
 const NO_NUMBER: &str = "0000000000000000";
 
-/// How a connection ended, or why it could not be opened.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum LinkEnd {
-    /// The connection was refused: no process listens.
-    #[error("connection refused")]
-    Refused,
-    /// It could not be opened, or not in time.
-    #[error("no connection established")]
-    ConnectFailed,
-    /// It was open and has closed.
-    #[error("{0}")]
-    Closed(CloseReason),
-}
-
-/// A set-up that was put on a connection.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct OutstandingSetUp {
-    /// The number called.
-    number: Rc<str>,
-    /// How often it was moved to another connection before it was written.
-    moves: u8,
-    /// When it was queued.
-    #[serde(rename = "since")]
-    queued_at: Time,
-}
-
-/// An answer whose end is not certain yet: it has been read, and is handled once something follows it or a timeout has
-/// passed.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct HeldAnswer {
-    sid: Sid,
-    /// The cause of the release of the same call, if it has arrived on another connection meanwhile: it follows the
-    /// answer.
-    release_cause: Option<u16>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct Link {
-    queue: Rc<WriteQueue>,
-    /// When it was opened; `None` while it is opening.
-    #[serde(rename = "up")]
-    connected_at: Option<Time>,
-    /// Set-ups on it without a final response.
-    #[serde(rename = "out")]
-    set_ups: BTreeMap<Sid, OutstandingSetUp>,
-    /// Set-ups cancelled after they had been written, the latest last; a final response may still arrive.
-    #[serde(rename = "given_up")]
-    cancelled: VecDeque<Sid>,
-    /// Releases sent on it and not confirmed, in the state that older builds hand over; empty in a running process.
-    #[serde(rename = "unheard", default)]
-    inherited_releases: VecDeque<(Sid, Bytes, Time)>,
-    /// When the first set-up was sent since the last input.
-    #[serde(rename = "asked")]
-    unanswered_since: Option<Time>,
-    /// When the call server last showed life on it.
-    #[serde(rename = "heard")]
-    last_seen: Time,
-    /// When anything last arrived on it.
-    #[serde(default)]
-    last_input: Time,
-    /// When the test was sent on it that has not been answered.
-    #[serde(default)]
-    tested_at: Option<Time>,
-    /// An answer on it that is not handled yet.
-    #[serde(default)]
-    held_answer: Option<HeldAnswer>,
-    /// Whether it carries set-ups: something has arrived on it, or it has been open for long enough.
-    #[serde(rename = "speaks")]
-    carries_set_ups: bool,
-}
-
-impl Link {
-    /// Whether it has been silent for too long after a set-up.
-    fn is_suspect(&self, now: Time) -> bool {
-        self.unanswered_since.is_some_and(|at| now.since(at) > SUSPECT_AFTER)
-    }
-    fn mark_cancelled(&mut self, sid: Sid) {
-        if self.cancelled.len() >= MAX_REMEMBERED {
-            self.cancelled.pop_front();
-        }
-        self.cancelled.push_back(sid);
-    }
-    /// Whether a final response belongs to a set-up that was cancelled here.
-    fn take_cancelled(&mut self, sid: Sid) -> bool {
-        let at = self.cancelled.iter().position(|cancelled| *cancelled == sid);
-        at.and_then(|at| self.cancelled.remove(at)).is_some()
-    }
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct Trunk {
-    #[serde(rename = "dial")]
-    address: SocketAddr,
-    links: BTreeMap<u64, Link>,
-    /// Messages for the next connection, in the state that older builds hand over; empty in a running process.
-    #[serde(rename = "waiting")]
-    waiting_messages: VecDeque<Bytes>,
-    /// Numbers called, of the established calls at the call server.
-    #[serde(rename = "standing")]
-    established: BTreeMap<Sid, Rc<str>>,
-    /// When the connections were opened on which the established calls were answered: a call belongs to the
-    /// process that accepted its connection.
-    #[serde(default)]
-    answered_on: BTreeMap<Sid, Time>,
-    /// Releases that the call server has not confirmed.
-    #[serde(default)]
-    releases: PendingReleases,
-    wanted: bool,
-    /// Whether a connection was lost and the next one has not opened: releases of the call server may have been lost
-    /// with it, and it sends them again on the next one only.
-    #[serde(default)]
-    replacement_due: bool,
-    /// When a connection was last refused.
-    #[serde(default)]
-    refused_at: Option<Time>,
-    #[serde(rename = "again")]
-    reconnect_delay: Span,
-    /// When the call server last showed life on any connection.
-    #[serde(rename = "heard")]
-    last_seen: Time,
-    /// Whether a silence check is scheduled.
-    #[serde(rename = "watched")]
-    silence_watched: bool,
-    /// When the next silence check is due, if one is scheduled.
-    #[serde(default)]
-    silence_check_at: Time,
-}
-
-impl Trunk {
-    /// Whether connections to it are opened: for set-ups, or for the releases of the calls that stand there.
-    fn keeps_connecting(&self) -> bool {
-        self.wanted || !self.established.is_empty()
-    }
-    fn has_open_link(&self) -> bool {
-        self.links.values().any(|link| link.connected_at.is_some())
-    }
-    fn has_opening_link(&self) -> bool {
-        self.links.values().any(|link| link.connected_at.is_none())
-    }
-    /// Whether a connection is to be opened now or after a delay: there is none, or one was lost.
-    fn needs_link(&self) -> bool {
-        self.keeps_connecting()
-            && !self.has_opening_link()
-            && (self.links.is_empty() || (self.replacement_due && !self.established.is_empty()))
-    }
-    /// Adds a call that was answered on a connection opened at `connected_at`.
-    fn add_established(&mut self, sid: Sid, number: Rc<str>, connected_at: Time) {
-        self.established.insert(sid, number);
-        self.answered_on.insert(sid, connected_at);
-    }
-    /// Removes a call that has ended; returns its number if it was established.
-    fn remove_established(&mut self, sid: Sid) -> Option<Rc<str>> {
-        self.answered_on.remove(&sid);
-        self.established.remove(&sid)
-    }
-    /// Removes all calls and returns them with their numbers.
-    fn take_established(&mut self) -> BTreeMap<Sid, Rc<str>> {
-        self.answered_on.clear();
-        std::mem::take(&mut self.established)
-    }
-    /// Removes the calls of the processes that ran before `restarted_at`. A call of which it is not known on
-    /// which connection it was answered counts as one of them.
-    fn take_established_before(&mut self, restarted_at: Time) -> Vec<Sid> {
-        let is_old = |sid: &Sid| self.answered_on.get(sid).is_none_or(|opened| *opened < restarted_at);
-        let old: Vec<Sid> = self.established.keys().copied().filter(is_old).collect();
-        for sid in &old {
-            self.remove_established(*sid);
-        }
-        old
-    }
-    /// The answer of a call that is held on one of the connections.
-    fn held_answer(&mut self, sid: Sid) -> Option<&mut HeldAnswer> {
-        self.links.values_mut().filter_map(|link| link.held_answer.as_mut()).find(|held| held.sid == sid)
-    }
-    /// The connection for releases, other than `excluded`: an open one, preferably one with input since its last
-    /// set-up, and with the latest input.
-    fn link_for_releases(&self, excluded: Option<u64>) -> Option<u64> {
-        let open = self.links.iter().filter(|(no, l)| l.connected_at.is_some() && Some(**no) != excluded);
-        let best = open.max_by_key(|(_, l)| (l.unanswered_since.is_none(), l.last_input));
-        best.map(|(no, _)| *no)
-    }
-    /// Sends a release on a connection, or keeps it for the next one.
-    fn send_release(&mut self, sid: Sid, request: Bytes, link: Option<u64>, now: Time) {
-        if let Some(link) = link.and_then(|no| self.links.get(&no)) {
-            link.queue.push(request.clone(), None);
-        }
-        self.releases.add(sid, request, link, now);
-    }
-    /// Sends a release again, on another connection than before.
-    fn resend_release(&mut self, release: &ReleaseToSend, no: u64, now: Time) {
-        let Some(link) = self.links.get(&no) else { return };
-        link.queue.push(release.request.clone(), None);
-        self.releases.mark_sent(release.sid, no, now);
-    }
-    /// Schedules the first silence check, unless one is scheduled.
-    fn watch_silence(&mut self, now: Time) {
-        if !std::mem::replace(&mut self.silence_watched, true) {
-            self.silence_check_at = now.plus(PROBE_AFTER);
-        }
-    }
-    /// It gets no further set-ups; messages for a next connection are dropped.
-    fn stop_using(&mut self) {
-        self.wanted = false;
-        self.waiting_messages.clear();
-        self.releases.discard_waiting();
-    }
-    /// Sends a test on each open connection without one. A sound call server answers it, also where it accepts no
-    /// further connection.
-    fn test_connections(&mut self, now: Time) {
-        for (no, link) in &mut self.links {
-            if link.connected_at.is_some() && link.tested_at.is_none() {
-                link.queue.push(connection_test(*no), None);
-                link.tested_at = Some(now);
-            }
-        }
-    }
-    /// When this call server's timer is due: for a silence check or the retransmission of a release.
-    fn timer_due_at(&self) -> Option<Time> {
-        let silence_check = self.silence_watched.then_some(self.silence_check_at);
-        silence_check.into_iter().chain(self.releases.next_check()).min()
-    }
-}
-
 /// Counters of this adapter.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct SipCounts {
