Tests of free addresses: an IP address for each of the two

Cause: both tests of lockpoint_lab::ports bound ports of the same IP address. While one had closed its listener for a moment, the system gave that port to the other, and the first listened on it again.

Change: an IP address for each.

--- a/crates/lockpoint-lab/src/ports.rs
+++ b/crates/lockpoint-lab/src/ports.rs
@@ -43,7 +43,9 @@
     use std::process::Command;
     use std::thread::{self, JoinHandle};
 
-    const IP: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 77, 0, 1));
+    // Addresses of their own: the system may give one test the port that the other has closed for a moment.
+    const FREE_ADDRESS_IP: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 77, 0, 1));
+    const LISTEN_AGAIN_IP: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 77, 0, 2));
 
     /// Starts one program after another in another thread.
     fn start_programs() -> JoinHandle<()> {
@@ -59,7 +61,7 @@
     fn a_free_address_can_be_listened_on_while_programs_are_started() {
         let starting = start_programs();
         while !starting.is_finished() {
-            let at = free_address(IP).expect("an address");
+            let at = free_address(FREE_ADDRESS_IP).expect("an address");
             std::net::TcpListener::bind(at).expect("nobody listens there");
         }
     }
@@ -68,7 +70,7 @@
     #[tokio::test]
     async fn a_closed_listener_can_listen_again_while_programs_are_started() {
         let starting = start_programs();
-        let first = TcpListener::bind((IP, 0)).await.expect("a listener");
+        let first = TcpListener::bind((LISTEN_AGAIN_IP, 0)).await.expect("a listener");
         let at = first.local_addr().expect("its address");
         drop(first);
         while !starting.is_finished() {
